--- /dev/null
+++ b/tarragonlift/__init__.py
@@ -0,0 +1,1 @@
+"""tarragonlift, a load balancer for servers whose load shifts quickly."""
--- /dev/null
+++ b/tarragonlift/cli/app.py
@@ -0,0 +1,308 @@
+"""The commands for operators, except ``serve``."""
+
+from __future__ import annotations
+
+import pathlib
+import secrets
+from typing import Annotated
+from typing import Any
+
+import attrs
+import typer
+
+from tarragonlift.cli import client as client_module
+from tarragonlift.cli import output
+from tarragonlift import config
+from tarragonlift.core import const as core_const
+from tarragonlift import exceptions
+from tarragonlift.helpers import jsonc
+from tarragonlift import settings
+
+EXIT_ERROR = 1
+EXIT_INVALID = 2
+EXIT_CONFLICT = 3
+EXIT_UNREACHABLE = 4
+
+app = typer.Typer(
+    no_args_is_help=True, help="Operate tarragonlift.", add_completion=False
+)
+config_app = typer.Typer(no_args_is_help=True, help="The configuration.")
+data_centre_app = typer.Typer(no_args_is_help=True, help="Data centres.")
+app.add_typer(config_app, name="config")
+app.add_typer(data_centre_app, name="data-centre")
+
+ApiOption = Annotated[
+    str,
+    typer.Option(
+        "--api",
+        envvar="TARRAGONLIFT_API",
+        help="Address of any daemon's administration API.",
+    ),
+]
+TokenOption = Annotated[
+    str,
+    typer.Option(
+        "--token",
+        envvar="TARRAGONLIFT_TOKEN",
+        help="Token of the operator.",
+    ),
+]
+JsonOption = Annotated[
+    bool, typer.Option("--json", help="Print JSON instead of text.")
+]
+DEFAULT_API = "127.0.0.1:9080"
+
+
+@app.command()
+def serve() -> None:
+    """Run an entry daemon (see 'tarragonlift serve --help')."""
+
+
+@app.command()
+def check(
+    files: Annotated[
+        list[pathlib.Path],
+        typer.Argument(
+            help="Settings of a process, or a base file and its overlays "
+            "(named after their data centre)."
+        ),
+    ],
+    json_output: JsonOption = False,
+) -> None:
+    """Check files without a daemon; tell every error at its place."""
+    problems = check_files(files)
+    shown = [attrs.asdict(one) for one in problems]
+    output.show(
+        {"problems": shown},
+        json_output,
+        "\n".join(str(one) for one in problems) or "no errors",
+    )
+    if problems:
+        raise typer.Exit(EXIT_INVALID)
+
+
+@config_app.command("push")
+def config_push(
+    base: Annotated[pathlib.Path, typer.Argument(help="The base file.")],
+    overlays: Annotated[
+        list[pathlib.Path] | None,
+        typer.Argument(help="Overlays, named after their data centre."),
+    ] = None,
+    if_version: Annotated[
+        int | None,
+        typer.Option(
+            help="Version on which the change is based; default: the one "
+            "that the daemon has in force."
+        ),
+    ] = None,
+    api: ApiOption = DEFAULT_API,
+    token: TokenOption = "",
+    json_output: JsonOption = False,
+) -> None:
+    """Put a new configuration in force at every site."""
+    daemon = client_module.ApiClient(api, token)
+    bundle = read_bundle(base, overlays or [])
+    if if_version is None:
+        if_version = daemon.get("/v1/configuration")["version"]
+    body = {
+        "push": secrets.token_hex(8),
+        "if_version": if_version,
+        "base": bundle.base,
+        "overlays": bundle.overlays,
+    }
+    result = daemon.wait(daemon.post("/v1/configuration", body))
+    document = output.wait_in_force(daemon, result["version"])
+    force = document["in_force"]
+    text = (
+        f"version {result['version']} accepted; in force on "
+        f"{force['confirmed']} of {force['daemons']} daemons"
+    )
+    if force["behind"]:
+        text += "; not yet on " + ", ".join(force["behind"])
+    output.show({**result, "in_force": force}, json_output, text)
+
+
+@config_app.command("show")
+def config_show(
+    api: ApiOption = DEFAULT_API,
+    token: TokenOption = "",
+    json_output: JsonOption = False,
+) -> None:
+    """Show the configuration in force, and where it is not."""
+    document = client_module.ApiClient(api, token).get("/v1/configuration")
+    output.show(document, json_output, output.describe_config(document))
+
+
+@config_app.command("history")
+def config_history(
+    api: ApiOption = DEFAULT_API,
+    token: TokenOption = "",
+    json_output: JsonOption = False,
+) -> None:
+    """Show who pushed which version and when."""
+    daemon = client_module.ApiClient(api, token)
+    result = daemon.wait(daemon.get("/v1/configuration/history"))
+    lines = [
+        f"{one['version']:>6}  {output.format_time(one['at'])}  "
+        f"{one['operator']}  {one['digest'][:12]}"
+        for one in result["history"]
+    ]
+    output.show(result, json_output, "\n".join(lines))
+
+
+@data_centre_app.command("out")
+def data_centre_out(
+    name: str,
+    force: Annotated[
+        bool,
+        typer.Option(
+            "--force", help="Also where the rest may not carry the work."
+        ),
+    ] = False,
+    api: ApiOption = DEFAULT_API,
+    token: TokenOption = "",
+    json_output: JsonOption = False,
+) -> None:
+    """Send no new work to a data centre."""
+    _set_data_centre(
+        name, core_const.DataCentreState.OUT, force, api, token, json_output
+    )
+
+
+@data_centre_app.command("in")
+def data_centre_in(
+    name: str,
+    api: ApiOption = DEFAULT_API,
+    token: TokenOption = "",
+    json_output: JsonOption = False,
+) -> None:
+    """Send work to a data centre again."""
+    state = core_const.DataCentreState.IN_SERVICE
+    _set_data_centre(name, state, False, api, token, json_output)
+
+
+@data_centre_app.command("status")
+def data_centre_status(
+    api: ApiOption = DEFAULT_API,
+    token: TokenOption = "",
+    json_output: JsonOption = False,
+) -> None:
+    """Show the state of each data centre."""
+    document = client_module.ApiClient(api, token).get("/v1/data-centres")
+    lines = [
+        f"{one['name']:<24} {one['state']:<12} "
+        f"{output.format_time(one['since'])}"
+        for one in document["data_centres"]
+    ]
+    output.show(document, json_output, "\n".join(lines))
+
+
+@app.command()
+def hosts(
+    api: ApiOption = DEFAULT_API,
+    token: TokenOption = "",
+    json_output: JsonOption = False,
+) -> None:
+    """Show daemons and backend servers, with what the router thinks."""
+    document = client_module.ApiClient(api, token).get("/v1/hosts")
+    output.show(document, json_output, output.describe_hosts(document))
+
+
+@app.command()
+def timeline(
+    since: Annotated[
+        float, typer.Option(help="Seconds to look back; 0: all.")
+    ] = 0.0,
+    kind: Annotated[str, typer.Option(help="Only this kind.")] = "",
+    request: Annotated[
+        str, typer.Option(help="Only what concerns this request or name.")
+    ] = "",
+    api: ApiOption = DEFAULT_API,
+    token: TokenOption = "",
+    json_output: JsonOption = False,
+) -> None:
+    """Merge the events of all daemons, in order."""
+    daemon = client_module.ApiClient(api, token)
+    events, missing = output.collect_events(daemon, token, since, kind)
+    if request:
+        events = [
+            one for one in events if request in (one["subject"], one["detail"])
+        ]
+    lines = [output.describe_event(one) for one in events]
+    lines.extend(f"(no answer from {name})" for name in missing)
+    document = {"events": events, "missing": missing}
+    output.show(document, json_output, "\n".join(lines))
+
+
+def check_files(files: list[pathlib.Path]) -> list[exceptions.Problem]:
+    """Return every error of settings files, or of a base and overlays."""
+    try:
+        if config.CONF_SERVICES in _keys(files[0]):
+            config.check_bundle(read_bundle(files[0], files[1:]))
+            return []
+    except exceptions.InvalidDocument as error:
+        return error.problems
+    problems = []
+    for file in files:
+        try:
+            settings.load(file)
+        except exceptions.InvalidDocument as error:
+            problems.extend(error.problems)
+    return problems
+
+
+def read_bundle(
+    base: pathlib.Path, overlays: list[pathlib.Path]
+) -> config.Bundle:
+    """Return the texts of a base file and its overlays."""
+    jsonc.read(base)
+    texts = {}
+    for path in overlays:
+        name = path.name.partition(".")[0]
+        texts[name] = path.read_text(encoding="utf-8")
+    return config.Bundle(base.read_text(encoding="utf-8"), texts)
+
+
+def main() -> None:
+    """Run a command; a typed error ends with its own exit status."""
+    try:
+        app()
+    except exceptions.InvalidDocument as error:
+        output.fail(error, EXIT_INVALID)
+    except client_module.ApiUnreachable as error:
+        output.fail(error, EXIT_UNREACHABLE)
+    except client_module.ApiError as error:
+        output.fail(error, _exit_status(error))
+    except exceptions.TarragonliftError as error:
+        output.fail(error, EXIT_ERROR)
+
+
+def _set_data_centre(
+    name: str,
+    state: core_const.DataCentreState,
+    force: bool,
+    api: str,
+    token: str,
+    json_output: bool,
+) -> None:
+    """Change the state of a data centre and tell it."""
+    daemon = client_module.ApiClient(api, token)
+    body = {"state": state.value, "force": force}
+    document = daemon.put(f"/v1/data-centres/{name}", body)
+    output.show(document, json_output, f"{name}: {document['state']}")
+
+
+def _keys(path: pathlib.Path) -> Any:
+    """Return the keys at the top of a document."""
+    document = jsonc.read(path)
+    return document if isinstance(document, dict) else {}
+
+
+def _exit_status(error: client_module.ApiError) -> int:
+    """Return the exit status for an error of the API."""
+    name = error.document.get("error")
+    if name == exceptions.InvalidDocument.__name__:
+        return EXIT_INVALID
+    if name == exceptions.ConfigurationConflict.__name__:
+        return EXIT_CONFLICT
+    return EXIT_ERROR
--- /dev/null
+++ b/tarragonlift/components/admin/models.py
@@ -0,0 +1,85 @@
+"""Data of the administration API."""
+
+from __future__ import annotations
+
+from collections import abc
+from typing import Any
+
+import attrs
+
+from tarragonlift.components.admin import const
+from tarragonlift.components import configuration as configuration_module
+from tarragonlift.components import data_centres as data_centres_module
+from tarragonlift.components.data_path import server
+from tarragonlift.components.metrics import recorder
+from tarragonlift.components.peers import mesh as mesh_module
+from tarragonlift.core import balancer as balancer_module
+from tarragonlift import exceptions
+from tarragonlift import settings
+
+
+@attrs.frozen
+class Context:
+    """The parts that the API shows and drives."""
+
+    balancer: balancer_module.Balancer
+    configuration: configuration_module.ConfigurationKeeper
+    data_centres: data_centres_module.DataCentreKeeper
+    data_path: server.DataPath
+    mesh: mesh_module.Mesh
+    metrics: recorder.Recorder
+    operators: tuple[settings.Operator, ...]
+    is_ready: abc.Callable[[], bool]
+    follow: abc.Callable[[], None]
+
+
+@attrs.frozen
+class ApiRequest:
+    """A request to the API by an operator who is known."""
+
+    operator: settings.Operator
+    arguments: dict[str, str]
+    query: dict[str, str]
+    body: Any
+
+
+@attrs.frozen
+class ApiAnswer:
+    """An answer of the API."""
+
+    status: int
+    document: Any
+
+
+@attrs.define
+class Operation:
+    """Work that ends after its request was answered."""
+
+    number: str
+    state: str = const.OPERATION_RUNNING
+    result: dict[str, Any] = attrs.field(factory=dict)
+
+    def to_document(self) -> dict[str, Any]:
+        """Return the operation as plain data."""
+        return {
+            "operation": self.number,
+            "state": self.state,
+            "result": self.result,
+        }
+
+
+def error_document(error: exceptions.TarragonliftError) -> dict[str, Any]:
+    """Return an error as plain data, with everything it knows."""
+    document: dict[str, Any] = {
+        "error": type(error).__name__,
+        "advice": str(error) or (type(error).__doc__ or "").strip(),
+    }
+    if isinstance(error, exceptions.InvalidDocument):
+        document["problems"] = [
+            {"file": one.file, "place": one.place, "advice": one.advice}
+            for one in error.problems
+        ]
+    if isinstance(error, exceptions.ConfigurationConflict):
+        document["version"] = error.version
+        document["operator"] = error.operator
+    return document
--- /dev/null
+++ b/tarragonlift/components/daemon/__init__.py
@@ -0,0 +1,239 @@
+"""The entry daemon: joins all parts on one loop."""
+
+from __future__ import annotations
+
+import functools
+import json
+import os
+import pathlib
+import random
+import signal
+import time
+from typing import Any
+
+import circuits
+
+from tarragonlift.components import admin
+from tarragonlift.components import claims
+from tarragonlift.components import configuration
+from tarragonlift.components.daemon import const
+from tarragonlift.components.daemon import pages
+from tarragonlift.components import data_centres
+from tarragonlift.components import data_path
+from tarragonlift.components.data_path import poller as poller_module
+from tarragonlift.components import hosts
+from tarragonlift.components import logs
+from tarragonlift.components import metrics
+from tarragonlift.components import peers
+from tarragonlift.components import platform
+from tarragonlift.core import balancer as balancer_module
+from tarragonlift.core import const as core_const
+from tarragonlift.core import models
+from tarragonlift import exceptions
+from tarragonlift import settings as settings_module
+
+
+class EntryDaemon(circuits.Component):  # type: ignore[misc]
+    """One entry daemon."""
+
+    channel = "daemon"
+
+    def __init__(self, settings: settings_module.Settings) -> None:
+        """Create all parts; ``run`` begins."""
+        super().__init__()
+        self._settings = settings
+        rng = random.Random()
+        self._stopping_since: float | None = None
+        self._accepting = True
+        self._poller = poller_module.DataPoller(logs.log_error)
+        self._poller.register(self)
+        self._metrics = metrics.create_recorder(settings.statsd)
+        identity = balancer_module.Identity(
+            settings.daemon,
+            settings.data_centre,
+            str(settings.peer_listen),
+            str(settings.admin),
+        )
+        self._balancer = balancer_module.Balancer(
+            identity, rng, settings.policy
+        )
+        self._platform = platform.create_platform(
+            self._poller, settings.table, settings.objects, settings.hosts
+        )
+        self._data_path = data_path.create_data_path(
+            self._poller,
+            self._balancer,
+            self._metrics,
+            pages.Pages(self.is_ready),
+        )
+        self._mesh = peers.create_mesh(
+            self._poller,
+            self._balancer,
+            settings.peers,
+            functools.partial(read_keys, settings.key_files),
+            rng,
+        )
+        self._create_keepers()
+
+    def _create_keepers(self) -> None:
+        """Create the parts that follow the platform and the peers."""
+        table = self._platform.table
+        self._claims = claims.create_claim_writer(
+            self._balancer, table, self._data_path
+        )
+        self._configuration = configuration.ConfigurationKeeper(
+            self._poller,
+            self._balancer,
+            table,
+            self._platform.objects,
+            self._mesh,
+        )
+        self._data_centres = data_centres.DataCentreKeeper(
+            self._poller, self._balancer, table, self._follow
+        )
+        self._hosts = hosts.HostFollower(
+            self._poller,
+            self._balancer,
+            self._platform.hosts,
+            table,
+            self._mesh,
+        )
+        self._mesh.on_changes = self._follow
+        self._admin = admin.create_admin(
+            self,
+            self._settings.admin,
+            admin.Context(
+                balancer=self._balancer,
+                configuration=self._configuration,
+                data_centres=self._data_centres,
+                data_path=self._data_path,
+                mesh=self._mesh,
+                metrics=self._metrics,
+                operators=self._settings.operators,
+                is_ready=self.is_ready,
+                follow=self._follow,
+            ),
+        )
+
+    @circuits.handler("started", channel="*")
+    def _on_started(self, *args: Any) -> None:
+        """Begin to work."""
+        signal.signal(signal.SIGTERM, self._on_signal)
+        signal.signal(signal.SIGINT, self._on_signal)
+        peer_address = self._mesh.listen(self._settings.peer_listen)
+        admin_address = self._admin.address
+        self._balancer.set_addresses(str(peer_address), str(admin_address))
+        self._hosts.start()
+        self._configuration.start()
+        self._data_centres.start()
+        address = self._data_path.listen(self._settings.listen)
+        now = time.monotonic()
+        self._tick(now)
+        self._flush_metrics(now)
+        self._note(core_const.EVENT_STARTED, str(address))
+        self._write_ready_file(address, peer_address, admin_address)
+
+    def is_ready(self) -> bool:
+        """Return whether callers should be sent to this daemon."""
+        return (
+            self._stopping_since is None
+            and self._balancer.version > 0
+            and self._hosts.listed
+        )
+
+    def _on_signal(self, number: int, frame: Any) -> None:
+        """Begin the graceful stop."""
+        if self._stopping_since is None:
+            self._stopping_since = time.monotonic()
+
+    def _tick(self, now: float) -> None:
+        """Do what is due at short intervals."""
+        self._poller.timers.call_at(now + const.TICK_SECONDS, self._tick)
+        self._balancer.update_members(now)
+        self._balancer.replica.forget_dead(now)
+        self._follow()
+        self._claims.kick()
+        if self._balancer.replica.has_news:
+            self._mesh.spread_news()
+        if self._stopping_since is not None:
+            self._go_on_stopping(now)
+
+    def _follow(self) -> None:
+        """Act on what changed in the replica."""
+        if self._balancer.follow_replica(time.time()):
+            self._configuration.follow_replica()
+            self._mesh.spread_news()
+
+    def _go_on_stopping(self, now: float) -> None:
+        """Take the next step of the graceful stop."""
+        assert self._stopping_since is not None  # noqa: S101 - by caller
+        waited = now - self._stopping_since
+        if self._accepting:
+            if not self._data_path.stopping:
+                self._note(core_const.EVENT_STOPPING, self._settings.daemon)
+                self._hosts.leave()
+                self._data_path.set_stopping()
+            if waited >= self._settings.drain_seconds:
+                self._accepting = False
+                self._data_path.stop_accepting()
+            return
+        limit = self._settings.drain_seconds + self._settings.finish_seconds
+        busy = self._data_path.busy or self._balancer.claims.busy
+        if busy and waited < limit:
+            return
+        self._data_path.close()
+        self._mesh.close()
+        self.stop()
+
+    def _flush_metrics(self, now: float) -> None:
+        """Send metrics once in a while."""
+        when = now + const.METRICS_SECONDS
+        self._poller.timers.call_at(when, self._flush_metrics)
+        self._metrics.gauge("in_progress", self._data_path.in_progress)
+        self._metrics.gauge("version", self._balancer.version)
+        self._metrics.flush()
+
+    def _note(self, kind: str, subject: str) -> None:
+        """Put an event on the time line and into the log."""
+        logs.log_event(self._balancer.note(kind, subject, "", time.time()))
+
+    def _write_ready_file(
+        self,
+        address: models.Address,
+        peer_address: models.Address,
+        admin_address: models.Address,
+    ) -> None:
+        """Tell a supervisor the addresses."""
+        path = self._settings.ready_file
+        if path is None:
+            return
+        document = {
+            "pid": os.getpid(),
+            "listen": str(address),
+            "peer": str(peer_address),
+            "admin": str(admin_address),
+        }
+        partial = path.with_suffix(".partial")
+        partial.write_text(json.dumps(document), encoding="utf-8")
+        partial.replace(path)
+
+
+def read_keys(paths: tuple[pathlib.Path, ...]) -> list[bytes]:
+    """Return the keys shared by all daemons; read anew for each stream."""
+    keys = []
+    for path in paths:
+        try:
+            key = path.read_bytes().strip()
+        except OSError as error:
+            logs.log_error(error, file=str(path))
+            continue
+        if key:
+            keys.append(key)
+    if not keys:
+        raise exceptions.PeerNotAuthenticated("no key file can be read")
+    return keys
+
+
+def create_daemon(settings: settings_module.Settings) -> EntryDaemon:
+    """Return a daemon that does not run yet."""
+    return EntryDaemon(settings)
--- /dev/null
+++ b/tarragonlift/components/data_centres/__init__.py
@@ -0,0 +1,97 @@
+"""Keeps the states of data centres in the table as well as in gossip.
+
+Gossip carries a change within a second, also while the table is away. The
+table keeps it for the time when every daemon is replaced at once.
+"""
+
+from __future__ import annotations
+
+from collections import abc
+import time
+
+from tarragonlift.components.data_path import poller as poller_module
+from tarragonlift.components.platform import store
+from tarragonlift.core import balancer as balancer_module
+from tarragonlift.core import replica
+from tarragonlift import exceptions
+
+PREFIX = "data-centre/"
+SYNC_SECONDS = 2.0
+
+
+class DataCentreKeeper:
+    """Brings table and gossip to the same states."""
+
+    def __init__(
+        self,
+        poller: poller_module.DataPoller,
+        balancer: balancer_module.Balancer,
+        table: store.Table,
+        on_changes: abc.Callable[[], None],
+    ) -> None:
+        """Do nothing before ``start``."""
+        self._poller = poller
+        self._balancer = balancer
+        self._table = table
+        self._on_changes = on_changes
+        self.synced = False
+
+    def start(self) -> None:
+        """Keep both alike from now on."""
+        self._tick(time.monotonic())
+
+    def sync(self) -> None:
+        """Read the table, then write what it does not know."""
+
+        def done(rows: list[store.Row] | exceptions.PlatformError) -> None:
+            if isinstance(rows, exceptions.PlatformError):
+                return
+            self.synced = True
+            self._merge(rows)
+            self._write_newer(rows)
+
+        self._table.scan(PREFIX, done)
+
+    def _tick(self, now: float) -> None:
+        """Synchronise once in a while."""
+        self._poller.timers.call_at(now + SYNC_SECONDS, self._tick)
+        self.sync()
+
+    def _merge(self, rows: list[store.Row]) -> None:
+        """Take what the table knows."""
+        items = [_item(row) for row in rows]
+        if self._balancer.replica.merge(items):
+            self._on_changes()
+
+    def _write_newer(self, rows: list[store.Row]) -> None:
+        """Write the states that the table does not have yet."""
+        known = {row.key: row for row in rows}
+        for item in self._balancer.replica.items(replica.KIND_DATA_CENTRE):
+            key = PREFIX + item.name
+            row = known.get(key)
+            if row is not None and _item(row).order >= item.order:
+                continue
+            value = {
+                **item.value,
+                "version": item.version,
+                "rank": item.rank,
+                "origin": item.origin,
+            }
+            version = row.version if row is not None else 0
+            operation = store.Operation(key, value, version)
+            self._table.transact([operation], _ignore)
+
+
+def _item(row: store.Row) -> replica.Item:
+    """Return the item that a row stands for."""
+    value = dict(row.value or {})
+    version = value.pop("version", 0)
+    rank = value.pop("rank", 0)
+    origin = value.pop("origin", "")
+    name = row.key.removeprefix(PREFIX)
+    kind = replica.KIND_DATA_CENTRE
+    return replica.Item(kind, name, version, rank, origin, value)
+
+
+def _ignore(result: object) -> None:
+    """Leave a failed write to the next synchronisation."""
--- /dev/null
+++ b/tarragonlift/components/data_path/caller.py
@@ -0,0 +1,394 @@
+"""The server side of HTTP/1.1: one connection of a caller."""
+
+from __future__ import annotations
+
+import abc
+import collections
+import socket
+import time
+
+import attrs
+import httptools
+
+from tarragonlift.components.data_path import const
+from tarragonlift.components.data_path import poller as poller_module
+from tarragonlift.components.data_path import stream
+from tarragonlift.core import const as core_const
+from tarragonlift import exceptions
+
+Headers = list[tuple[bytes, bytes]]
+
+
+@attrs.define
+class RequestHead:
+    """The head of a request as it came."""
+
+    method: bytes
+    target: bytes
+    headers: Headers
+    peer: str
+    content_length: int = 0
+    chunked: bool = False
+    keep_alive: bool = True
+    expects_continue: bool = False
+    fields: dict[bytes, bytes] = attrs.field(factory=dict)
+
+    @property
+    def has_body(self) -> bool:
+        """Return whether a body follows."""
+        return self.chunked or self.content_length > 0
+
+
+class RequestListener(abc.ABC):
+    """Takes the body of one request and what happens to its caller."""
+
+    @abc.abstractmethod
+    def on_body(self, data: bytes) -> None:
+        """Take a part of the body."""
+
+    @abc.abstractmethod
+    def on_body_complete(self) -> None:
+        """The body is whole."""
+
+    @abc.abstractmethod
+    def on_writable(self) -> None:
+        """The connection takes more of the answer."""
+
+    @abc.abstractmethod
+    def on_caller_gone(self) -> None:
+        """The caller closed the connection."""
+
+    @abc.abstractmethod
+    def on_body_refused(self, refusal: exceptions.Refusal) -> None:
+        """The rest of the body is not acceptable."""
+
+
+class Acceptor(abc.ABC):
+    """Decides who takes a request."""
+
+    @abc.abstractmethod
+    def accept(
+        self, connection: CallerConnection, head: RequestHead
+    ) -> RequestListener:
+        """Return the listener of a new request."""
+
+    @abc.abstractmethod
+    def refuse(
+        self, connection: CallerConnection, refusal: exceptions.Refusal
+    ) -> None:
+        """Answer a request that can't be read, and close."""
+
+    @abc.abstractmethod
+    def on_closed(self, connection: CallerConnection) -> None:
+        """Forget the connection."""
+
+
+@attrs.define(eq=False)
+class _Queued:
+    """A request that came before the one ahead was answered."""
+
+    head: RequestHead
+    body: list[bytes] = attrs.field(factory=list)
+    complete: bool = False
+
+
+class CallerConnection(stream.Stream):
+    """Reads requests and lets the acceptor answer one after the other."""
+
+    def __init__(
+        self,
+        poller: poller_module.DataPoller,
+        sock: socket.socket,
+        peer: str,
+        acceptor: Acceptor,
+    ) -> None:
+        """Serve a connection that was accepted."""
+        super().__init__(poller, sock)
+        self._peer = peer
+        self._acceptor = acceptor
+        self._parser = httptools.HttpRequestParser(self)
+        self._listener: RequestListener | None = None
+        self._current: RequestHead | None = None
+        self._reading_body = False
+        self._queue: collections.deque[_Queued] = collections.deque()
+        self._target = b""
+        self._headers: Headers = []
+        self._fields: dict[bytes, bytes] = {}
+        self._in_head = False
+        self._head_bytes = 0
+        self._refusal: exceptions.Refusal | None = None
+        self._close_after = False
+        self._head_since = 0.0
+
+    @property
+    def busy(self) -> bool:
+        """Return whether a request is in progress."""
+        return self._listener is not None
+
+    @property
+    def body_complete(self) -> bool:
+        """Return whether the current request's body has arrived."""
+        return not self._reading_body
+
+    def finish_answer(self, keep_alive: bool) -> None:
+        """End the answer; go on with the next request or close."""
+        current, self._current = self._current, None
+        self._listener = None
+        self.active_at = time.monotonic()
+        if current is None or self._closed:
+            return
+        unread = self._reading_body
+        if unread or self._close_after or not keep_alive:
+            self._linger_close(unread)
+            return
+        if not current.keep_alive:
+            self.close_when_sent()
+            return
+        if self._queue:
+            self._poller.call_soon(self._next_queued)
+        elif not self._reading:
+            self.resume_reading()
+
+    def close_after_answer(self) -> None:
+        """Take no further request on this connection."""
+        self._close_after = True
+
+    def abort(self) -> None:
+        """Reset the connection: its answer can't become whole."""
+        self._listener = None
+        self._current = None
+        self.reset()
+        self._acceptor.on_closed(self)
+
+    def close_if_idle(self) -> bool:
+        """Close when no request is in progress; return whether it was."""
+        if self._listener is not None or self._queue or self._in_head:
+            self._close_after = True
+            return False
+        self.close_when_sent()
+        return True
+
+    def check_timeouts(self, now: float) -> None:
+        """Time out a slow sender or close an idle connection."""
+        if self._closed:
+            return
+        if self._closing:
+            if now - self.active_at > const.BODY_TIMEOUT_S:
+                self.close()
+                self.on_end()
+        elif self._listener is not None:
+            self._check_body_timeout(now)
+        elif self._in_head:
+            if now - self._head_since > const.HEAD_TIMEOUT_S:
+                self._refuse(self._slow())
+        elif now - self.active_at > const.IDLE_TIMEOUT_S:
+            self.close()
+            self.on_end()
+
+    def on_data(self, data: bytes) -> None:
+        """Read a part of a request."""
+        self.active_at = time.monotonic()
+        if self._refusal is not None:
+            return
+        if self._in_head or self._listener is None:
+            if not self._in_head:
+                self._head_since = self.active_at
+                self._in_head = True
+            self._head_bytes += len(data)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._refusal = self._refusal or _bad_request()
+        except httptools.HttpParserError:
+            self._refusal = self._refusal or _bad_request()
+        if self._in_head and self._head_bytes > const.HEAD_BYTES_MOST:
+            self._refusal = exceptions.HeadTooLarge(_NOT_RUN)
+        if self._refusal is not None:
+            self._refuse(self._refusal)
+
+    def on_end(self) -> None:
+        """Tell who has the request that the caller is gone."""
+        listener, self._listener = self._listener, None
+        self._acceptor.on_closed(self)
+        if listener is not None:
+            listener.on_caller_gone()
+
+    def on_writable(self) -> None:
+        """Pass on that the connection takes more of the answer."""
+        if self._listener is not None:
+            self._listener.on_writable()
+
+    def on_url(self, url: bytes) -> None:
+        """Take the target (called by the parser)."""
+        self._target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take a header field (called by the parser)."""
+        self._headers.append((name, value))
+        self._fields[name.lower()] = value
+
+    def on_headers_complete(self) -> None:
+        """Take the head of a request (called by the parser)."""
+        head = self._read_head()
+        self._target = b""
+        self._headers = []
+        self._fields = {}
+        self._in_head = False
+        self._head_bytes = 0
+        if self._refusal is not None:
+            return
+        if self._current is not None or self._queue:
+            self._queue.append(_Queued(head))
+            self.pause_reading()
+            return
+        self._begin(head)
+
+    def on_body(self, data: bytes) -> None:
+        """Take a part of a body (called by the parser)."""
+        if self._queue:
+            self._queue[-1].body.append(data)
+        elif self._listener is not None and self._reading_body:
+            self._listener.on_body(data)
+
+    def on_message_complete(self) -> None:
+        """Take the end of a request (called by the parser)."""
+        if self._queue:
+            self._queue[-1].complete = True
+            return
+        if self._reading_body:
+            self._reading_body = False
+            if self._listener is not None:
+                self._listener.on_body_complete()
+
+    def _begin(self, head: RequestHead) -> None:
+        """Give a request to the acceptor."""
+        self._current = head
+        self._reading_body = True
+        self._listener = _PENDING
+        listener = self._acceptor.accept(self, head)
+        if self._listener is _PENDING:
+            self._listener = listener
+
+    def _next_queued(self) -> None:
+        """Go on with a request that came early."""
+        if self._closed or not self._queue or self._current is not None:
+            return
+        queued = self._queue.popleft()
+        self._begin(queued.head)
+        for data in queued.body:
+            if self._listener is not None and self._reading_body:
+                self._listener.on_body(data)
+        if queued.complete and self._reading_body:
+            self._reading_body = False
+            if self._listener is not None:
+                self._listener.on_body_complete()
+        if not self._queue:
+            self.resume_reading()
+
+    def _read_head(self) -> RequestHead:
+        """Return the head; note a refusal where it is not acceptable."""
+        fields = self._fields
+        head = RequestHead(
+            self._parser.get_method(),
+            self._target,
+            self._headers,
+            self._peer,
+            fields=fields,
+        )
+        head.keep_alive = self._parser.should_keep_alive()
+        if self._parser.get_http_version() != "1.1":
+            self._refusal = exceptions.VersionNotSupported(_NOT_RUN)
+        elif sum(1 for name, _ in self._headers if _is_host(name)) != 1:
+            self._refusal = _bad_request()
+        length = fields.get(b"content-length")
+        if length is not None:
+            head.content_length = int(length)
+        coding = fields.get(b"transfer-encoding")
+        if coding is not None:
+            head.chunked = True
+            if coding.lower() != b"chunked":
+                self._refusal = _bad_request()
+        expect = fields.get(b"expect")
+        if expect is not None:
+            head.expects_continue = expect.lower() == b"100-continue"
+        return head
+
+    def _check_body_timeout(self, now: float) -> None:
+        """Time out a body that does not come although we read."""
+        if not self._reading_body or not self._reading:
+            return
+        if now - self.active_at <= const.BODY_TIMEOUT_S:
+            return
+        listener = self._listener
+        if listener is not None:
+            listener.on_body_refused(self._slow())
+
+    def _refuse(self, refusal: exceptions.Refusal) -> None:
+        """Answer what can't be read, and close."""
+        self._refusal = refusal
+        listener = self._listener
+        if listener is not None:
+            listener.on_body_refused(refusal)
+            return
+        self._acceptor.refuse(self, refusal)
+        self._linger_close(unread=True)
+
+    def _linger_close(self, unread: bool) -> None:
+        """Close such that the caller can still read the answer."""
+        if not unread or self._closed:
+            self.close_when_sent()
+            if self._closed:
+                self._acceptor.on_closed(self)
+            return
+        self._refusal = self._refusal or _bad_request()
+        self._sock.shutdown(socket.SHUT_WR) if not self._pending else None
+        self.active_at = time.monotonic()
+        self._closing = bool(self._pending)
+        self._poller.timers.call_at(
+            self.active_at + LINGER_SECONDS, self._end_linger
+        )
+
+    def _end_linger(self, now: float) -> None:
+        """Close although the caller still sends."""
+        if not self._closed:
+            self.close()
+            self.on_end()
+
+    @staticmethod
+    def _slow() -> exceptions.Refusal:
+        """Return the refusal for a slow sender."""
+        return exceptions.SenderTooSlow(_NOT_RUN)
+
+
+class _Pending(RequestListener):
+    """Stands in while the acceptor decides."""
+
+    def on_body(self, data: bytes) -> None:
+        """Take nothing."""
+
+    def on_body_complete(self) -> None:
+        """Take nothing."""
+
+    def on_writable(self) -> None:
+        """Take nothing."""
+
+    def on_caller_gone(self) -> None:
+        """Take nothing."""
+
+    def on_body_refused(self, refusal: exceptions.Refusal) -> None:
+        """Take nothing."""
+
+
+LINGER_SECONDS = 2.0
+_PENDING = _Pending()
+_NOT_RUN = core_const.Outcome.NOT_RUN
+
+
+def _bad_request() -> exceptions.Refusal:
+    """Return the refusal for what is not valid HTTP/1.1."""
+    return exceptions.BadRequest(_NOT_RUN)
+
+
+def _is_host(name: bytes) -> bool:
+    """Return whether the header field is Host."""
+    return name.lower() == b"host"
--- /dev/null
+++ b/tarragonlift/components/data_path/client.py
@@ -0,0 +1,224 @@
+"""The client side of HTTP/1.1 on one connection."""
+
+from __future__ import annotations
+
+import abc
+import socket
+
+import attrs
+import httptools
+
+from tarragonlift.components.data_path import poller as poller_module
+from tarragonlift.components.data_path import stream
+from tarragonlift.core import models
+
+STATUS_CONTINUE = 100
+STATUS_OK_LEAST = 200
+STATUSES_WITHOUT_BODY = (204, 304)
+
+Headers = list[tuple[bytes, bytes]]
+
+
+@attrs.define
+class AnswerHead:
+    """Status and header fields of an answer."""
+
+    status: int
+    headers: Headers
+    content_length: int | None = None
+    chunked: bool = False
+    keep_alive: bool = True
+
+    @property
+    def framed(self) -> bool:
+        """Return whether the end of the answer can be told."""
+        return (
+            self.chunked
+            or self.content_length is not None
+            or self.status in STATUSES_WITHOUT_BODY
+        )
+
+    def get(self, name: bytes) -> bytes | None:
+        """Return the value of a header field given in lower case."""
+        for key, value in self.headers:
+            if key.lower() == name:
+                return value
+        return None
+
+
+class AnswerListener(abc.ABC):
+    """Takes the answer to one request."""
+
+    @abc.abstractmethod
+    def on_head(self, head: AnswerHead) -> None:
+        """Take the head of the answer."""
+
+    @abc.abstractmethod
+    def on_body(self, data: bytes) -> None:
+        """Take a part of the body."""
+
+    @abc.abstractmethod
+    def on_complete(self) -> None:
+        """The answer is whole."""
+
+    @abc.abstractmethod
+    def on_failed(self, sent: bool, bad: bool) -> None:
+        """The connection ended first; ``sent``: bytes had been written."""
+
+    def on_writable(self) -> None:
+        """The connection takes more of the request's body."""
+
+
+class ClientConnection(stream.Stream):
+    """Sends one request after the other and reads their answers.
+
+    An answer that belongs to no request, or data after an answer, makes the
+    connection unusable: it is closed, never read further.
+    """
+
+    def __init__(
+        self,
+        poller: poller_module.DataPoller,
+        sock: socket.socket,
+        address: models.Address,
+    ) -> None:
+        """Use a socket that is being connected."""
+        super().__init__(poller, sock, connecting=True)
+        self.address = address
+        self.used = False
+        self.on_idle_closed: poller_module.Callable[
+            [ClientConnection], None
+        ] = _ignore
+        self._listener: AnswerListener | None = None
+        self._is_head_request = False
+        self._head: AnswerHead | None = None
+        self._headers: Headers = []
+        self._bad = False
+        self._sent = False
+        self._parser = httptools.HttpResponseParser(self)
+
+    @property
+    def idle(self) -> bool:
+        """Return whether the connection can take a request."""
+        return self._listener is None and not self._closed
+
+    @property
+    def reusable(self) -> bool:
+        """Return whether another request may follow the one that ended."""
+        return self.idle and not self._bad and not self._pending
+
+    @property
+    def established(self) -> bool:
+        """Return whether the connection was established."""
+        return not self._connecting
+
+    def begin(
+        self, head: bytes, listener: AnswerListener, is_head: bool
+    ) -> None:
+        """Send the head of a request; the listener gets the answer."""
+        self._listener = listener
+        self._is_head_request = is_head
+        self._head = None
+        self._headers = []
+        self._sent = not self._connecting
+        self.write(head)
+
+    def abandon(self) -> None:
+        """Close: the answer is not wanted, and nothing else may use it."""
+        self._listener = None
+        self.close()
+
+    def on_connected(self) -> None:
+        """Note that from now on bytes go out."""
+        self._sent = self._listener is not None
+
+    def on_data(self, data: bytes) -> None:
+        """Read a part of an answer."""
+        if self._listener is None:
+            self._bad = True
+            self._fail()
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError:
+            self._bad = True
+            self._fail()
+            return
+        if self._bad:
+            self._fail()
+
+    def on_end(self) -> None:
+        """Tell the listener that the answer can't come."""
+        listener, self._listener = self._listener, None
+        if listener is None:
+            self.on_idle_closed(self)
+            return
+        listener.on_failed(self._sent, self._bad)
+
+    def on_writable(self) -> None:
+        """Pass on that the connection takes more."""
+        if self._listener is not None:
+            self._listener.on_writable()
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take a header field (called by the parser)."""
+        self._headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        """Take the head of an answer (called by the parser)."""
+        if self._bad:
+            return
+        status = self._parser.get_status_code()
+        if status < STATUS_OK_LEAST:
+            self._headers = []
+            return
+        if self._listener is None or self._head is not None:
+            self._bad = True
+            return
+        head = _read_head(status, self._headers)
+        if self._parser.get_http_version() != "1.1":
+            head.keep_alive = False
+        self._head = head
+        self._listener.on_head(head)
+        if self._is_head_request and self._listener is not None:
+            self._finish()
+            self._parser = httptools.HttpResponseParser(self)
+
+    def on_body(self, data: bytes) -> None:
+        """Take a part of a body (called by the parser)."""
+        if self._bad or self._listener is None:
+            self._bad = True
+            return
+        self._listener.on_body(data)
+
+    def on_message_complete(self) -> None:
+        """Take the end of an answer (called by the parser)."""
+        if self._head is not None and not self._is_head_request:
+            self._finish()
+
+    def _finish(self) -> None:
+        """Hand over a whole answer."""
+        listener, self._listener = self._listener, None
+        if listener is None or self._head is None:
+            return
+        if not self._head.keep_alive:
+            self._bad = True
+        listener.on_complete()
+
+
+def _ignore(connection: ClientConnection) -> None:
+    """Do nothing."""
+
+
+def _read_head(status: int, headers: Headers) -> AnswerHead:
+    """Return the head with what frames the answer."""
+    head = AnswerHead(status, headers)
+    for name, value in headers:
+        lower = name.lower()
+        if lower == b"content-length":
+            head.content_length = int(value)
+        elif lower == b"transfer-encoding":
+            head.chunked = value.lower() == b"chunked"
+        elif lower == b"connection" and b"close" in value.lower():
+            head.keep_alive = False
+    return head
--- /dev/null
+++ b/tarragonlift/components/data_path/connections.py
@@ -0,0 +1,84 @@
+"""Connections to backend servers, kept open between requests."""
+
+from __future__ import annotations
+
+import collections
+from collections import abc
+import time
+
+from tarragonlift.components.data_path import client
+from tarragonlift.components.data_path import const
+from tarragonlift.components.data_path import poller as poller_module
+from tarragonlift.components.data_path import stream
+from tarragonlift.core import models
+
+Connection = client.ClientConnection
+
+
+class ConnectionPool:
+    """Hands out connections; the one used last comes first."""
+
+    def __init__(
+        self,
+        poller: poller_module.DataPoller,
+        on_closed: abc.Callable[[models.Address], None],
+    ) -> None:
+        """Tell ``on_closed`` when a server closes an idle connection."""
+        self._poller = poller
+        self._on_closed = on_closed
+        self._idle: dict[models.Address, collections.deque[Connection]] = {}
+
+    def take(self, address: models.Address) -> Connection | None:
+        """Return a connection, a new one if none is idle."""
+        idle = self._idle.get(address)
+        while idle:
+            connection = idle.pop()
+            if connection.reusable:
+                connection.used = True
+                return connection
+        sock = stream.connect(address)
+        if sock is None:
+            return None
+        connection = Connection(self._poller, sock, address)
+        connection.on_idle_closed = self._forget
+        return connection
+
+    def give_back(self, connection: Connection) -> None:
+        """Keep the connection for the next request, or close it."""
+        if not connection.reusable:
+            connection.abandon()
+            return
+        idle = self._idle.setdefault(connection.address, collections.deque())
+        if len(idle) >= const.IDLE_CONNECTIONS_MOST:
+            connection.abandon()
+            return
+        connection.active_at = time.monotonic()
+        idle.append(connection)
+
+    def sweep(self, now: float) -> None:
+        """Close connections that were idle for long."""
+        for address, idle in list(self._idle.items()):
+            while idle and _is_old(idle[0], now):
+                idle.popleft().abandon()
+            if not idle:
+                del self._idle[address]
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        for idle in self._idle.values():
+            for connection in idle:
+                connection.abandon()
+        self._idle.clear()
+
+    def _forget(self, connection: Connection) -> None:
+        """A server closed an idle connection."""
+        idle = self._idle.get(connection.address)
+        if idle is not None and connection in idle:
+            idle.remove(connection)
+            if not idle:
+                self._on_closed(connection.address)
+
+
+def _is_old(connection: Connection, now: float) -> bool:
+    """Return whether the connection was idle too long."""
+    return now - connection.active_at > const.BACKEND_IDLE_TIMEOUT_S
--- /dev/null
+++ b/tarragonlift/components/data_path/exchange.py
@@ -0,0 +1,441 @@
+"""One request and its answer: carries out what the core decides."""
+
+from __future__ import annotations
+
+import abc
+import time
+
+from tarragonlift.components.data_path import caller
+from tarragonlift.components.data_path import client
+from tarragonlift.components.data_path import const
+from tarragonlift.components.data_path import messages
+from tarragonlift import const as product_const
+from tarragonlift.core import actions
+from tarragonlift.core import call as call_module
+from tarragonlift.core import const as core_const
+from tarragonlift.core import models
+from tarragonlift import exceptions
+
+SERVER_START = product_const.HEADER_SERVER_START.lower().encode()
+SERVER_LOAD = product_const.HEADER_SERVER_LOAD.lower().encode()
+SERVER_STATE = product_const.HEADER_SERVER_STATE.lower().encode()
+STATE_FAILURES = {
+    product_const.SERVER_STATE_DRAINING.encode(): (
+        core_const.AttemptFailure.DRAINING
+    ),
+    product_const.SERVER_STATE_SHED.encode(): core_const.AttemptFailure.SHED,
+}
+STATUS_UNAVAILABLE = 503
+
+Failure = core_const.AttemptFailure
+
+
+class Host(abc.ABC):
+    """What an exchange needs of the data path."""
+
+    @property
+    @abc.abstractmethod
+    def stopping(self) -> bool:
+        """Return whether callers are asked to go elsewhere."""
+
+    @abc.abstractmethod
+    def take_connection(
+        self, attempt: actions.Attempt
+    ) -> client.ClientConnection | None:
+        """Return a connection to the attempt's backend server."""
+
+    @abc.abstractmethod
+    def give_back(self, connection: client.ClientConnection) -> None:
+        """Keep or close a connection whose answer was whole."""
+
+    @abc.abstractmethod
+    def on_server_headers(
+        self, attempt: actions.Attempt, head: client.AnswerHead
+    ) -> None:
+        """Learn from what the backend server says of itself."""
+
+    @abc.abstractmethod
+    def on_failure(self, attempt: actions.Attempt, failure: Failure) -> None:
+        """Learn from a failure of the backend server."""
+
+    @abc.abstractmethod
+    def carry_out(self, exchange: Exchange, action: actions.Action) -> None:
+        """Do what concerns more than this exchange."""
+
+    @abc.abstractmethod
+    def on_room(self, exchange: Exchange) -> None:
+        """A backend server may have room for a request that waits."""
+
+    @abc.abstractmethod
+    def on_done(self, exchange: Exchange) -> None:
+        """Forget the exchange."""
+
+
+class AttemptRun(client.AnswerListener):
+    """One attempt on its connection."""
+
+    def __init__(
+        self,
+        exchange: Exchange,
+        attempt: actions.Attempt,
+        connection: client.ClientConnection,
+    ) -> None:
+        """Run the attempt on the connection."""
+        self.attempt = attempt
+        self.connection = connection
+        self.head: client.AnswerHead | None = None
+        self.body_sent = False
+        self.relaying = False
+        self.refused: Failure | None = None
+        self._exchange = exchange
+
+    def on_head(self, head: client.AnswerHead) -> None:
+        """Take the head of the answer."""
+        self.head = head
+        self._exchange.on_answer_head(self, head)
+
+    def on_body(self, data: bytes) -> None:
+        """Take a part of the body."""
+        if self.refused is None:
+            self._exchange.on_answer_body(self, data)
+
+    def on_complete(self) -> None:
+        """The answer is whole."""
+        self._exchange.on_answer_complete(self)
+
+    def on_failed(self, sent: bool, bad: bool) -> None:
+        """The connection ended first."""
+        if self.refused is not None:
+            self._exchange.on_run_failed(self, self.refused)
+            return
+        failure = Failure.BROKEN_BEFORE_ANSWER
+        if not sent:
+            failure = Failure.CONNECT_FAILED
+        elif self.head is not None:
+            failure = Failure.BROKEN_IN_ANSWER
+        elif bad:
+            failure = Failure.BAD_ANSWER
+        self._exchange.on_run_failed(self, failure)
+
+    def on_writable(self) -> None:
+        """The backend server takes more of the body."""
+        self._exchange.on_backend_writable()
+
+
+class Exchange(caller.RequestListener):
+    """Moves bytes between a caller and the backend servers of one call."""
+
+    def __init__(
+        self,
+        host: Host,
+        connection: caller.CallerConnection,
+        head: caller.RequestHead,
+        call: call_module.Call,
+    ) -> None:
+        """Prepare; ``start`` begins."""
+        self._host = host
+        self._connection: caller.CallerConnection | None = connection
+        self._head = head
+        self._call = call
+        request = call.request
+        self._prefix = messages.request_prefix(head, request.request_id)
+        self._is_head = head.method == b"HEAD"
+        self._runs: dict[actions.Attempt, AttemptRun] = {}
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._kept = True
+        self._answered = False
+        self._recorded: list[bytes] = []
+        self._recorded_bytes = 0
+        self._answer_head = client.AnswerHead(0, [])
+        call.body_complete = not head.has_body
+
+    @property
+    def call(self) -> call_module.Call:
+        """Return the call whose decisions are carried out."""
+        return self._call
+
+    def start(self, now: float) -> None:
+        """Begin."""
+        self.run(self._call.start(now))
+
+    def run(self, wanted: list[actions.Action]) -> None:
+        """Carry out actions one after the other."""
+        for action in wanted:
+            if isinstance(action, actions.Send):
+                self._send(action.attempt)
+            elif isinstance(action, actions.Relay):
+                self._relay(action.attempt)
+            elif isinstance(action, actions.Refuse):
+                self._refuse(action.refusal)
+            elif isinstance(action, actions.Abandon):
+                self._abandon(action.attempt)
+            elif isinstance(action, actions.CutShort):
+                self._cut_short()
+            elif isinstance(action, actions.Replay):
+                self._replay(action.answer)
+            else:
+                self._host.carry_out(self, action)
+        if self._call.phase is call_module.Phase.DONE and not self._runs:
+            self._host.on_done(self)
+
+    def wake(self, now: float) -> None:
+        """Let the core do what is due."""
+        self.run(self._call.on_wake(now))
+
+    def check_stalled(self, now: float) -> None:
+        """Give up on an answer of which nothing came for long."""
+        for run in list(self._runs.values()):
+            quiet = now - run.connection.active_at
+            if quiet > const.ANSWER_STALL_TIMEOUT_S:
+                run.connection.abandon()
+                run.on_failed(sent=True, bad=False)
+
+    def recorded_answer(self) -> models.RecordedAnswer:
+        """Return the whole answer for the record."""
+        head = self._answer_head
+        body: bytes | None = b"".join(self._recorded)
+        if self._recorded_bytes > const.RECORD_BYTES_MOST:
+            body = None
+        return models.RecordedAnswer(
+            head.status,
+            tuple(
+                (name, value)
+                for name, value in head.headers
+                if name.lower() not in messages.NOT_RELAYED
+            ),
+            body,
+        )
+
+    def on_body(self, data: bytes) -> None:
+        """Take a part of the request's body."""
+        self._body_bytes += len(data)
+        service = self._call.request.service
+        if self._body_bytes > service.body_bytes:
+            self.on_body_refused(exceptions.BodyTooLarge(_NOT_RUN))
+            return
+        if self._kept:
+            self._body.append(data)
+            self._limit_kept()
+        for run in self._runs.values():
+            self._send_body(run, data)
+
+    def on_body_complete(self) -> None:
+        """The request's body is whole."""
+        self._call.on_body_complete(time.monotonic())
+        for run in self._runs.values():
+            self._end_body(run)
+
+    def on_body_refused(self, refusal: exceptions.Refusal) -> None:
+        """The rest of the body is not acceptable: nothing half-sent stays."""
+        if self._runs:
+            refusal.outcome = core_const.Outcome.UNKNOWN
+        if any(run.relaying for run in self._runs.values()):
+            self._cut_short()
+        elif not self._answered:
+            self._refuse(refusal)
+        self.run(self._call.on_caller_gone())
+        self._drop_unfinished()
+
+    def on_writable(self) -> None:
+        """The caller takes more of the answer."""
+        for run in self._runs.values():
+            if run.relaying:
+                run.connection.resume_reading()
+
+    def on_backend_writable(self) -> None:
+        """A backend server takes more of the request's body."""
+        if self._connection is not None:
+            self._connection.resume_reading()
+
+    def on_caller_gone(self) -> None:
+        """The caller closed its connection."""
+        self._connection = None
+        self.run(self._call.on_caller_gone())
+        self._drop_unfinished()
+
+    def on_answer_head(self, run: AttemptRun, head: client.AnswerHead) -> None:
+        """Take the head of an answer."""
+        self._host.on_server_headers(run.attempt, head)
+        state = head.get(SERVER_STATE)
+        if head.status == STATUS_UNAVAILABLE and state in STATE_FAILURES:
+            run.refused = STATE_FAILURES[state]
+            return
+        if not head.framed and not self._is_head:
+            run.connection.abandon()
+            self.on_run_failed(run, Failure.BAD_ANSWER)
+            return
+        self.run(self._call.on_answer_head(run.attempt, time.monotonic()))
+
+    def on_answer_body(self, run: AttemptRun, data: bytes) -> None:
+        """Take a part of an answer's body."""
+        if self._call.request.run is core_const.Run.ONCE:
+            self._recorded_bytes += len(data)
+            if self._recorded_bytes <= const.RECORD_BYTES_MOST:
+                self._recorded.append(data)
+        if not run.relaying or self._connection is None:
+            return
+        head = run.head
+        chunked = head is not None and head.chunked
+        self._connection.write(messages.chunk(data) if chunked else data)
+        if self._connection is not None and self._connection.congested:
+            run.connection.pause_reading()
+
+    def on_answer_complete(self, run: AttemptRun) -> None:
+        """Take the end of an answer."""
+        del self._runs[run.attempt]
+        run.connection.resume_reading()
+        if run.body_sent:
+            self._host.give_back(run.connection)
+        else:
+            run.connection.abandon()
+        if run.refused is not None:
+            self._failed(run, run.refused)
+            return
+        if run.head is not None:
+            self._answer_head = run.head
+        wanted = self._call.on_answer_complete(run.attempt, time.monotonic())
+        if run.relaying and self._connection is not None:
+            if run.head is not None and run.head.chunked:
+                if not self._is_head:
+                    self._connection.write(messages.LAST_CHUNK)
+            self._finish()
+        self.run(wanted)
+        self._host.on_room(self)
+
+    def on_run_failed(self, run: AttemptRun, failure: Failure) -> None:
+        """The connection of an attempt ended before its answer."""
+        if self._runs.pop(run.attempt, None) is not None:
+            self._failed(run, failure)
+
+    def _failed(self, run: AttemptRun, failure: Failure) -> None:
+        """Let the core decide what follows a failure."""
+        self._host.on_failure(run.attempt, failure)
+        now = time.monotonic()
+        self.run(self._call.on_attempt_failed(run.attempt, failure, now))
+        self._host.on_room(self)
+
+    def _send(self, attempt: actions.Attempt) -> None:
+        """Send the request, with what has come of its body."""
+        connection = self._host.take_connection(attempt)
+        if connection is None:
+            self._host.on_failure(attempt, Failure.CONNECT_FAILED)
+            now = time.monotonic()
+            failure = Failure.CONNECT_FAILED
+            self.run(self._call.on_attempt_failed(attempt, failure, now))
+            return
+        run = AttemptRun(self, attempt, connection)
+        self._runs[attempt] = run
+        left = self._call.request.deadline_at - attempt.started_at
+        data = self._prefix + messages.request_suffix(left)
+        if self._body:
+            data += self._framed(b"".join(self._body))
+        if self._call.body_complete:
+            run.body_sent = True
+            if self._head.chunked:
+                data += messages.LAST_CHUNK
+        elif self._head.expects_continue and not self._body_bytes:
+            if self._connection is not None:
+                self._connection.write(messages.CONTINUE)
+        connection.begin(data, run, self._is_head)
+        self._limit_kept()
+
+    def _send_body(self, run: AttemptRun, data: bytes) -> None:
+        """Send a part of the body on."""
+        run.connection.write(self._framed(data))
+        if run.connection.congested and self._connection is not None:
+            self._connection.pause_reading()
+
+    def _end_body(self, run: AttemptRun) -> None:
+        """Send the end of the body."""
+        run.body_sent = True
+        if self._head.chunked:
+            run.connection.write(messages.LAST_CHUNK)
+
+    def _framed(self, data: bytes) -> bytes:
+        """Return the data as it goes to a backend server."""
+        return messages.chunk(data) if self._head.chunked else data
+
+    def _limit_kept(self) -> None:
+        """Keep no more of the body than the service allows."""
+        if not self._kept or self._connection is None:
+            return
+        if self._body_bytes <= self._call.request.service.replay_bytes:
+            return
+        if not self._runs:
+            self._connection.pause_reading()
+            return
+        self._kept = False
+        self._body = []
+        self._call.replayable = False
+        if not any(run.connection.congested for run in self._runs.values()):
+            self._connection.resume_reading()
+
+    def _relay(self, attempt: actions.Attempt) -> None:
+        """Begin to pass the answer on."""
+        run = self._runs[attempt]
+        if run.head is None or self._connection is None:
+            return
+        run.relaying = True
+        self._answered = True
+        request_id = self._call.request.request_id
+        close = self._host.stopping
+        if close:
+            self._connection.close_after_answer()
+        self._connection.write(
+            messages.answer_head(run.head, request_id, close)
+        )
+
+    def _refuse(self, refusal: exceptions.Refusal) -> None:
+        """Answer in tarragonlift's own name."""
+        connection = self._connection
+        if connection is None or self._answered:
+            return
+        self._answered = True
+        request_id = self._call.request.request_id
+        close = not connection.body_complete
+        connection.write(
+            messages.refusal(refusal, request_id, self._is_head, close)
+        )
+        detail = f"{refusal.code} {refusal.outcome.value}"
+        kind = core_const.EVENT_REQUEST_REFUSED
+        self._host.carry_out(self, actions.Note(kind, request_id, detail))
+        self._finish()
+
+    def _replay(self, answer: models.RecordedAnswer) -> None:
+        """Give the answer that was recorded."""
+        if self._connection is None:
+            return
+        self._answered = True
+        request_id = self._call.request.request_id
+        self._connection.write(messages.recorded_answer(answer, request_id))
+        self._finish()
+
+    def _finish(self) -> None:
+        """Let the caller's connection go on."""
+        connection, self._connection = self._connection, None
+        if connection is not None:
+            connection.finish_answer(keep_alive=True)
+
+    def _abandon(self, attempt: actions.Attempt) -> None:
+        """Close the connection of an attempt that is not wanted."""
+        run = self._runs.pop(attempt, None)
+        if run is not None:
+            run.connection.abandon()
+            self._host.on_room(self)
+
+    def _drop_unfinished(self) -> None:
+        """Close the connections of a request that was sent in part."""
+        for run in list(self._runs.values()):
+            if not run.body_sent:
+                run.connection.abandon()
+                run.on_failed(sent=True, bad=False)
+
+    def _cut_short(self) -> None:
+        """Reset the caller's connection: its answer can't become whole."""
+        connection, self._connection = self._connection, None
+        if connection is not None:
+            connection.abort()
+
+
+_NOT_RUN = core_const.Outcome.NOT_RUN
--- /dev/null
+++ b/tarragonlift/components/data_path/messages.py
@@ -0,0 +1,173 @@
+"""The bytes of heads that tarragonlift writes."""
+
+from __future__ import annotations
+
+import http
+
+import orjson
+
+from tarragonlift.components.data_path import caller
+from tarragonlift.components.data_path import client
+from tarragonlift import const
+from tarragonlift.core import models
+from tarragonlift import exceptions
+
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+LAST_CHUNK = b"0\r\n\r\n"
+
+# Header fields that speak of one connection only (RFC 9110, 7.6.1).
+HOP_BY_HOP = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    )
+)
+NOT_FORWARDED = HOP_BY_HOP | {
+    b"expect",
+    b"content-length",
+    b"x-forwarded-for",
+    const.HEADER_DEADLINE.lower().encode(),
+    const.HEADER_REQUEST.lower().encode(),
+}
+NOT_RELAYED = HOP_BY_HOP | {
+    b"content-length",
+    const.HEADER_SERVER_LOAD.lower().encode(),
+    const.HEADER_SERVER_START.lower().encode(),
+    const.HEADER_SERVER_STATE.lower().encode(),
+    const.HEADER_OUTCOME.lower().encode(),
+    const.HEADER_REQUEST.lower().encode(),
+}
+
+_REASONS = {status.value: status.phrase.encode() for status in http.HTTPStatus}
+_REQUEST = const.HEADER_REQUEST.encode()
+_DEADLINE = const.HEADER_DEADLINE.encode()
+_OUTCOME = const.HEADER_OUTCOME.encode()
+
+
+def chunk(data: bytes) -> bytes:
+    """Return the data as one chunk."""
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+def request_prefix(head: caller.RequestHead, request_id: str) -> bytes:
+    """Return the head for a backend server, without deadline and end."""
+    dropped = _dropped(NOT_FORWARDED, head.fields.get(b"connection"))
+    parts = [b"%b %b HTTP/1.1\r\n" % (head.method, head.target)]
+    for name, value in head.headers:
+        if name.lower() not in dropped:
+            parts.append(b"%b: %b\r\n" % (name, value))
+    known = head.fields.get(b"x-forwarded-for")
+    peer = head.peer.encode()
+    forwarded = b"%b, %b" % (known, peer) if known else peer
+    parts.append(b"X-Forwarded-For: %b\r\n" % forwarded)
+    parts.append(b"%b: %b\r\n" % (_REQUEST, request_id.encode()))
+    if head.chunked:
+        parts.append(b"Transfer-Encoding: chunked\r\n")
+    elif head.content_length or b"content-length" in head.fields:
+        parts.append(b"Content-Length: %d\r\n" % head.content_length)
+    return b"".join(parts)
+
+
+def request_suffix(seconds_left: float) -> bytes:
+    """Return the end of the head, with the time that is left."""
+    left = max(1, int(seconds_left * const.MILLISECONDS_PER_SECOND))
+    return b"%b: %d\r\n\r\n" % (_DEADLINE, left)
+
+
+def answer_head(
+    head: client.AnswerHead, request_id: str, close: bool
+) -> bytes:
+    """Return the head of a backend server's answer for the caller."""
+    dropped = _dropped(NOT_RELAYED, head.get(b"connection"))
+    parts = [_status_line(head.status)]
+    for name, value in head.headers:
+        if name.lower() not in dropped:
+            parts.append(b"%b: %b\r\n" % (name, value))
+    if head.chunked:
+        parts.append(b"Transfer-Encoding: chunked\r\n")
+    elif head.content_length is not None:
+        parts.append(b"Content-Length: %d\r\n" % head.content_length)
+    if close:
+        parts.append(b"Connection: close\r\n")
+    parts.append(
+        b"%b: ran\r\n%b: %b\r\n\r\n"
+        % (_OUTCOME, _REQUEST, request_id.encode())
+    )
+    return b"".join(parts)
+
+
+def recorded_answer(answer: models.RecordedAnswer, request_id: str) -> bytes:
+    """Return an answer that was kept, as a whole."""
+    body = answer.body or b""
+    parts = [_status_line(answer.status)]
+    for name, value in answer.headers:
+        if name.lower() not in NOT_RELAYED:
+            parts.append(b"%b: %b\r\n" % (name, value))
+    parts.append(
+        b"Content-Length: %d\r\n%b: ran\r\n%b: true\r\n%b: %b\r\n\r\n"
+        % (
+            len(body),
+            _OUTCOME,
+            const.HEADER_REPLAYED.encode(),
+            _REQUEST,
+            request_id.encode(),
+        )
+    )
+    return b"".join(parts) + body
+
+
+def refusal(
+    error: exceptions.Refusal,
+    request_id: str,
+    is_head: bool = False,
+    close: bool = False,
+) -> bytes:
+    """Return the whole answer for a refusal."""
+    body = orjson.dumps(
+        {
+            "error": error.code,
+            "advice": error.advice,
+            "outcome": error.outcome.value,
+            "request": request_id,
+            "help": f"POST {const.PATH_CASES} with this request identifier",
+        }
+    )
+    fields = {
+        "Content-Type": "application/json",
+        "Content-Length": len(body),
+        const.HEADER_OUTCOME: error.outcome.value,
+        const.HEADER_ERROR: error.code,
+        const.HEADER_REQUEST: request_id,
+        const.HEADER_CASE: const.PATH_CASES,
+    }
+    if close:
+        fields["Connection"] = "close"
+    return plain(error.status, fields, b"" if is_head else body)
+
+
+def plain(status: int, fields: dict[str, object], body: bytes) -> bytes:
+    """Return an answer from its fields."""
+    lines = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
+    return _status_line(status) + lines.encode("latin-1") + b"\r\n" + body
+
+
+def _status_line(status: int) -> bytes:
+    """Return the first line of an answer."""
+    return b"HTTP/1.1 %d %b\r\n" % (status, _REASONS.get(status, b"Status"))
+
+
+def _dropped(
+    base: frozenset[bytes], connection: bytes | None
+) -> frozenset[bytes]:
+    """Return the fields to drop, with those that Connection names."""
+    if connection is None:
+        return base
+    named = (one.strip().lower() for one in connection.split(b","))
+    return base | frozenset(named)
--- /dev/null
+++ b/tarragonlift/components/data_path/poller.py
@@ -0,0 +1,107 @@
+"""The poller of the loop: serves data sockets without an event for each.
+
+``circuits`` lets an application bring its own poller component. An event of
+``circuits`` costs more than a whole call may, so this poller calls the
+handlers of the data path's sockets directly and leaves all other sockets,
+such as those of ``circuits.web``, to ``circuits``.
+"""
+
+from __future__ import annotations
+
+import abc
+from collections.abc import Callable
+import time
+from typing import Any
+
+from circuits.core import pollers
+
+from tarragonlift.components.data_path import const
+from tarragonlift.components.data_path import timers
+
+
+class SocketHandler(abc.ABC):
+    """Handles what happens on one socket."""
+
+    @abc.abstractmethod
+    def on_ready(self, mask: int) -> None:
+        """Read, write or close as the mask of epoll says."""
+
+
+class DataPoller(pollers.EPoll):
+    """An epoll poller that serves the data path inside one event."""
+
+    def __init__(self, on_error: Callable[[BaseException], None]) -> None:
+        """Report what a handler raises to ``on_error``."""
+        super().__init__()
+        self._sockets: dict[int, SocketHandler] = {}
+        self._on_error = on_error
+        self._deferred: list[Callable[[], None]] = []
+        self._timers = timers.Timers()
+
+    @property
+    def timers(self) -> timers.Timers:
+        """Return the timers that this poller serves."""
+        return self._timers
+
+    def attach(self, fileno: int, mask: int, handler: SocketHandler) -> None:
+        """Serve a socket by this handler."""
+        self._sockets[fileno] = handler
+        self._poller.register(fileno, mask)
+
+    def change(self, fileno: int, mask: int) -> None:
+        """Wait for other things on a socket."""
+        self._poller.modify(fileno, mask)
+
+    def detach(self, fileno: int) -> None:
+        """Serve a socket no longer."""
+        if self._sockets.pop(fileno, None) is not None:
+            self._poller.unregister(fileno)
+
+    def call_soon(self, function: Callable[[], None]) -> None:
+        """Call the function after the sockets that are ready now."""
+        self._deferred.append(function)
+
+    def _generate_events(self, event: Any) -> None:
+        """Wait for sockets and serve them until ``circuits`` has work."""
+        now = time.monotonic()
+        until = now + const.SERVE_SECONDS_MOST
+        wait = self._wait_seconds(event.time_left, now)
+        while True:
+            ready = self._poller.poll(wait)
+            self._serve(ready)
+            now = time.monotonic()
+            self._timers.run(now)
+            self._run_deferred()
+            if not ready or now >= until or len(self.root):
+                return
+            wait = 0.0
+
+    def _wait_seconds(self, time_left: float, now: float) -> float:
+        """Return how long the poll may wait."""
+        if self._deferred:
+            return 0.0
+        most = const.POLL_SECONDS_MOST
+        if 0 <= time_left < most:
+            most = time_left
+        return self._timers.time_left(now, most)
+
+    def _serve(self, ready: list[tuple[int, int]]) -> None:
+        """Call the handler of each socket."""
+        for fileno, mask in ready:
+            handler = self._sockets.get(fileno)
+            if handler is None:
+                self._process(fileno, mask)
+                continue
+            try:
+                handler.on_ready(mask)
+            except Exception as error:
+                self._on_error(error)
+
+    def _run_deferred(self) -> None:
+        """Call what was put off until the sockets were served."""
+        deferred, self._deferred = self._deferred, []
+        for function in deferred:
+            try:
+                function()
+            except Exception as error:
+                self._on_error(error)
--- /dev/null
+++ b/tarragonlift/components/data_path/server.py
@@ -0,0 +1,407 @@
+"""The data path of one daemon: callers on one side, servers on the other."""
+
+from __future__ import annotations
+
+import abc
+import socket
+import time
+
+import xxhash
+
+from tarragonlift.components.data_path import caller
+from tarragonlift.components.data_path import client
+from tarragonlift.components.data_path import connections
+from tarragonlift.components.data_path import const
+from tarragonlift.components.data_path import exchange as exchange_module
+from tarragonlift.components.data_path import messages
+from tarragonlift.components.data_path import poller as poller_module
+from tarragonlift.components.data_path import stream
+from tarragonlift.components.metrics import recorder
+from tarragonlift import const as product_const
+from tarragonlift.core import actions
+from tarragonlift.core import balancer as balancer_module
+from tarragonlift.core import call as call_module
+from tarragonlift.core import const as core_const
+from tarragonlift.core import models
+from tarragonlift import exceptions
+
+QUEUE_CHECK_SECONDS = 0.05
+DEADLINE = product_const.HEADER_DEADLINE.lower().encode()
+OWN_PREFIX = product_const.PATH_PREFIX_OWN.encode()
+
+Exchange = exchange_module.Exchange
+
+
+class OwnPages(abc.ABC):
+    """Answers the paths that belong to tarragonlift itself."""
+
+    @abc.abstractmethod
+    def answer(
+        self, head: caller.RequestHead, body: bytes
+    ) -> tuple[int, bytes]:
+        """Return the status and a JSON body."""
+
+
+class DataPath(exchange_module.Host, caller.Acceptor):
+    """Accepts callers and joins them with backend servers."""
+
+    def __init__(
+        self,
+        poller: poller_module.DataPoller,
+        balancer: balancer_module.Balancer,
+        metrics: recorder.Recorder,
+        own_pages: OwnPages,
+    ) -> None:
+        """Prepare; ``listen`` begins."""
+        self._poller = poller
+        self._balancer = balancer
+        self._metrics = metrics
+        self._own_pages = own_pages
+        self._listener: stream.Listener | None = None
+        self._callers: set[caller.CallerConnection] = set()
+        self._exchanges: dict[call_module.Call, Exchange] = {}
+        self._connections = connections.ConnectionPool(
+            poller, self._on_server_closed
+        )
+        self._draining: set[str] = set()
+        self._stopping = False
+        self.on_claims: poller_module.Callable[[], None] = _nothing
+
+    @property
+    def in_progress(self) -> int:
+        """Return how many requests are in progress."""
+        return len(self._exchanges)
+
+    @property
+    def busy(self) -> bool:
+        """Return whether any caller still waits for an answer."""
+        return bool(self._exchanges) or any(
+            connection.busy or connection.pending_bytes
+            for connection in self._callers
+        )
+
+    @property
+    def stopping(self) -> bool:
+        """Return whether callers are asked to go elsewhere."""
+        return self._stopping
+
+    @property
+    def address(self) -> models.Address | None:
+        """Return where callers connect."""
+        return self._listener.address if self._listener else None
+
+    def listen(self, address: models.Address) -> models.Address:
+        """Accept callers from now on; return the address."""
+        self._listener = stream.Listener(
+            self._poller, address, self._on_accept
+        )
+        now = time.monotonic()
+        self._poller.timers.call_at(now + const.SWEEP_SECONDS, self._sweep)
+        self._check_queues(now)
+        return self._listener.address
+
+    def stop_accepting(self) -> None:
+        """Close the listener and idle callers; go on with what runs."""
+        self._stopping = True
+        if self._listener is not None:
+            self._listener.close()
+        for connection in list(self._callers):
+            if connection.close_if_idle():
+                self._callers.discard(connection)
+
+    def set_stopping(self) -> None:
+        """Ask callers to go elsewhere after their current request."""
+        self._stopping = True
+
+    def close(self) -> None:
+        """Close everything."""
+        if self._listener is not None:
+            self._listener.close()
+        for connection in list(self._callers):
+            connection.close()
+        self._connections.close()
+
+    def exchange_of(self, one: call_module.Call) -> Exchange | None:
+        """Return the exchange of a call that is in progress."""
+        return self._exchanges.get(one)
+
+    def tell(self, told: list[call_module.Call]) -> None:
+        """Let calls that changed be looked at again."""
+        for one in told:
+            exchange = self._exchanges.get(one)
+            if exchange is not None:
+                exchange.run([])
+
+    def accept(
+        self,
+        connection: caller.CallerConnection,
+        head: caller.RequestHead,
+    ) -> caller.RequestListener:
+        """Return who takes the request."""
+        now = time.monotonic()
+        request_id = self._balancer.new_request_id()
+        if head.target.startswith(OWN_PREFIX):
+            return _OwnRequest(connection, head, self._own_pages)
+        self._metrics.count("calls")
+        try:
+            call = self._balancer.open_call(_facts(head, request_id), now)
+        except exceptions.Refusal as refusal:
+            self._metrics.count(f"refused.{refusal.code}")
+            return _Refused(connection, head, refusal, request_id)
+        exchange = Exchange(self, connection, head, call)
+        self._exchanges[call] = exchange
+        self._poller.call_soon(lambda: exchange.start(now))
+        return exchange
+
+    def refuse(
+        self,
+        connection: caller.CallerConnection,
+        refusal: exceptions.Refusal,
+    ) -> None:
+        """Answer what could not be read."""
+        self._metrics.count(f"refused.{refusal.code}")
+        request_id = self._balancer.new_request_id()
+        connection.write(messages.refusal(refusal, request_id, close=True))
+
+    def on_closed(self, connection: caller.CallerConnection) -> None:
+        """Forget a caller's connection."""
+        self._callers.discard(connection)
+
+    def take_connection(
+        self, attempt: actions.Attempt
+    ) -> client.ClientConnection | None:
+        """Return a connection to the attempt's backend server."""
+        self._metrics.count("attempts")
+        return self._connections.take(attempt.backend.instance.address)
+
+    def give_back(self, connection: client.ClientConnection) -> None:
+        """Keep or close a connection."""
+        self._connections.give_back(connection)
+
+    def on_server_headers(
+        self, attempt: actions.Attempt, head: client.AnswerHead
+    ) -> None:
+        """Learn from what the backend server says of itself."""
+        start_id = head.get(exchange_module.SERVER_START)
+        load = head.get(exchange_module.SERVER_LOAD)
+        self._balancer.on_server_headers(
+            attempt.backend,
+            start_id.decode("latin-1") if start_id else "",
+            _number(load),
+            time.monotonic(),
+        )
+
+    def on_failure(
+        self, attempt: actions.Attempt, failure: core_const.AttemptFailure
+    ) -> None:
+        """Learn from a failure of the backend server."""
+        self._metrics.count(f"attempts.{failure.value}")
+        self._balancer.on_server_failure(attempt.backend, failure, time.time())
+
+    def carry_out(self, exchange: Exchange, action: actions.Action) -> None:
+        """Do what concerns more than one exchange."""
+        if isinstance(action, actions.WakeAt):
+            self._poller.timers.call_at(
+                action.when, lambda now: self._wake(exchange, now)
+            )
+        elif isinstance(action, actions.Claim):
+            self._balancer.claims.claim(exchange.call, time.time())
+            self.on_claims()
+        elif isinstance(action, actions.Release):
+            self._balancer.claims.release(exchange.call)
+            self.on_claims()
+        elif isinstance(action, actions.Record):
+            answer = exchange.recorded_answer()
+            self._balancer.claims.record(exchange.call, answer, time.time())
+            self.on_claims()
+        elif isinstance(action, actions.Evict):
+            victim = self._exchanges.get(action.call)
+            if victim is not None:
+                victim.run(action.call.on_evicted())
+        elif isinstance(action, actions.Note):
+            self._balancer.carry_out(action, time.time())
+
+    def on_room(self, exchange: Exchange) -> None:
+        """Serve the queue of a service soon."""
+        name = exchange.call.request.service.name
+        if not len(exchange.call.pool.queue) or name in self._draining:
+            return
+        self._draining.add(name)
+        self._poller.call_soon(lambda: self._serve_queue(name))
+
+    def on_done(self, exchange: Exchange) -> None:
+        """Forget an exchange."""
+        self._exchanges.pop(exchange.call, None)
+
+    def _wake(self, exchange: Exchange, now: float) -> None:
+        """Wake a call if it is still in progress."""
+        if exchange.call in self._exchanges:
+            exchange.wake(now)
+
+    def _serve_queue(self, name: str) -> None:
+        """Send requests that wait, as long as there is room."""
+        self._draining.discard(name)
+        pool = self._balancer.pools.get(name)
+        now = time.monotonic()
+        while pool is not None and len(pool.queue) and pool.choose(now):
+            call = pool.queue.pop()
+            if call is None:
+                return
+            exchange = self._exchanges.get(call)
+            if exchange is not None:
+                exchange.run(call.on_turn(now))
+
+    def _check_queues(self, now: float) -> None:
+        """Serve queues also when nothing ends: servers become usable."""
+        for name, pool in list(self._balancer.pools.items()):
+            if len(pool.queue):
+                self._serve_queue(name)
+        self._poller.timers.call_at(
+            now + QUEUE_CHECK_SECONDS, self._check_queues
+        )
+
+    def _sweep(self, now: float) -> None:
+        """Look after timeouts."""
+        for connection in list(self._callers):
+            connection.check_timeouts(now)
+        for exchange in list(self._exchanges.values()):
+            exchange.check_stalled(now)
+        self._connections.sweep(now)
+        self._poller.timers.call_at(now + const.SWEEP_SECONDS, self._sweep)
+
+    def _on_accept(self, sock: socket.socket, peer: tuple[str, int]) -> None:
+        """Serve a new connection."""
+        connection = caller.CallerConnection(self._poller, sock, peer[0], self)
+        self._callers.add(connection)
+
+    def _on_server_closed(self, address: models.Address) -> None:
+        """A backend server closed its last idle connection."""
+        self._balancer.on_connections_closed(address, time.time())
+
+
+class _Ignoring(caller.RequestListener):
+    """A request whose body has no use."""
+
+    def on_body(self, data: bytes) -> None:
+        """Drop it."""
+
+    def on_body_complete(self) -> None:
+        """Do nothing."""
+
+    def on_writable(self) -> None:
+        """Do nothing."""
+
+    def on_caller_gone(self) -> None:
+        """Do nothing."""
+
+    def on_body_refused(self, refusal: exceptions.Refusal) -> None:
+        """Do nothing: the answer was given."""
+
+
+class _Refused(_Ignoring):
+    """A request that is refused by its head alone."""
+
+    def __init__(
+        self,
+        connection: caller.CallerConnection,
+        head: caller.RequestHead,
+        refusal: exceptions.Refusal,
+        request_id: str,
+    ) -> None:
+        """Answer at once, or after a short body."""
+        self._connection = connection
+        self._head = head
+        self._refusal = refusal
+        self._request_id = request_id
+        if head.has_body and (
+            head.chunked
+            or head.expects_continue
+            or head.content_length > const.DRAIN_BYTES_MOST
+        ):
+            self._answer(close=True)
+        elif not head.has_body:
+            self._answer(close=False)
+
+    def on_body_complete(self) -> None:
+        """Answer, now that the connection can be used again."""
+        self._answer(close=False)
+
+    def _answer(self, close: bool) -> None:
+        """Send the refusal."""
+        self._connection.write(
+            messages.refusal(
+                self._refusal,
+                self._request_id,
+                self._head.method == b"HEAD",
+                close,
+            )
+        )
+        self._connection.finish_answer(keep_alive=not close)
+
+
+class _OwnRequest(_Ignoring):
+    """A request for one of tarragonlift's own paths."""
+
+    def __init__(
+        self,
+        connection: caller.CallerConnection,
+        head: caller.RequestHead,
+        pages: OwnPages,
+    ) -> None:
+        """Wait for the body."""
+        self._connection = connection
+        self._head = head
+        self._pages = pages
+        self._body: list[bytes] = []
+        self._bytes = 0
+
+    def on_body(self, data: bytes) -> None:
+        """Keep a short body."""
+        self._bytes += len(data)
+        if self._bytes <= const.RECORD_BYTES_MOST:
+            self._body.append(data)
+
+    def on_body_complete(self) -> None:
+        """Answer."""
+        status, body = self._pages.answer(self._head, b"".join(self._body))
+        fields = {
+            "Content-Type": "application/json",
+            "Content-Length": len(body),
+        }
+        shown = b"" if self._head.method == b"HEAD" else body
+        self._connection.write(messages.plain(status, fields, shown))
+        self._connection.finish_answer(keep_alive=True)
+
+
+def _facts(
+    head: caller.RequestHead, request_id: str
+) -> balancer_module.RequestFacts:
+    """Return what the core needs of the head."""
+    target = head.target.decode("latin-1")
+    method = head.method.decode("latin-1")
+    timeout = _number(head.fields.get(DEADLINE))
+    host = head.fields.get(b"host", b"").decode("latin-1").lower()
+    return balancer_module.RequestFacts(
+        request_id=request_id,
+        method=method,
+        host=host.partition(":")[0],
+        path=target.partition("?")[0],
+        peer=head.peer,
+        timeout_s=max(0.0, timeout) / product_const.MILLISECONDS_PER_SECOND,
+        fingerprint=xxhash.xxh64_hexdigest(
+            f"{method} {target} {head.content_length}"
+        ),
+        fields=head.fields,
+    )
+
+
+def _number(value: bytes | None) -> float:
+    """Return the number in a header field, 0 if there is none."""
+    try:
+        return float(value) if value else 0.0
+    except ValueError:
+        return 0.0
+
+
+def _nothing() -> None:
+    """Do nothing."""
--- /dev/null
+++ b/tarragonlift/components/hosts/__init__.py
@@ -0,0 +1,133 @@
+"""Follows the platform's list of hosts and the daemons' own rows."""
+
+from __future__ import annotations
+
+from collections import abc
+import time
+
+from tarragonlift.components.data_path import poller as poller_module
+from tarragonlift.components.peers import mesh as mesh_module
+from tarragonlift.components.platform import store
+from tarragonlift.core import balancer as balancer_module
+from tarragonlift.core import models
+from tarragonlift.core import replica
+from tarragonlift import exceptions
+
+HOSTS_SECONDS = 1.0
+ROW_SECONDS = 10.0
+ROW_STALE_SECONDS = 120.0
+ROW_PREFIX = "daemon/"
+
+
+class HostFollower:
+    """Reads the list of hosts and announces this daemon."""
+
+    def __init__(
+        self,
+        poller: poller_module.DataPoller,
+        balancer: balancer_module.Balancer,
+        hosts: store.HostList,
+        table: store.Table,
+        mesh: mesh_module.Mesh,
+    ) -> None:
+        """Do nothing before ``start``."""
+        self._poller = poller
+        self._balancer = balancer
+        self._hosts = hosts
+        self._table = table
+        self._mesh = mesh
+        self._row_version = 0
+        self._leaving = False
+        self.listed = False
+
+    def start(self) -> None:
+        """Follow from now on."""
+        self._announce()
+        now = time.monotonic()
+        self._read_hosts(now)
+        self._keep_row(now)
+
+    def leave(self) -> None:
+        """Tell that this daemon leaves, and remove its row."""
+        self._leaving = True
+        self._announce()
+        self._mesh.spread_news()
+        operation = store.Operation(self._key, None, self._row_version)
+        self._table.transact([operation], _ignore)
+
+    @property
+    def _key(self) -> str:
+        """Return the key of this daemon's row."""
+        return ROW_PREFIX + self._balancer.identity.daemon
+
+    def _announce(self) -> None:
+        """Tell the others where this daemon is."""
+        identity = self._balancer.identity
+        value = {
+            "address": identity.address,
+            "admin": identity.admin_address,
+            "data_centre": identity.data_centre,
+            "leaving": self._leaving,
+        }
+        self._balancer.replica.put(replica.KIND_MEMBER, identity.daemon, value)
+
+    def _read_hosts(self, now: float) -> None:
+        """Read the list of hosts once in a while."""
+        when = now + HOSTS_SECONDS
+        self._poller.timers.call_at(when, self._read_hosts)
+
+        def done(
+            found: list[models.Instance] | None | exceptions.PlatformError,
+        ) -> None:
+            if isinstance(found, list):
+                self.listed = bool(found)
+                self._balancer.set_instances(found)
+
+        self._hosts.read(done)
+
+    def _keep_row(self, now: float) -> None:
+        """Keep this daemon's row fresh, and learn of the other daemons."""
+        self._poller.timers.call_at(now + ROW_SECONDS, self._keep_row)
+
+        def done(rows: list[store.Row] | exceptions.PlatformError) -> None:
+            if not isinstance(rows, exceptions.PlatformError):
+                self._learn(rows)
+
+        self._table.scan(ROW_PREFIX, done)
+
+    def _learn(self, rows: abc.Iterable[store.Row]) -> None:
+        """Take the addresses of others; write the own row."""
+        wall_time = time.time()
+        seeds = []
+        self._row_version = 0
+        for row in rows:
+            value = row.value or {}
+            if row.key == self._key:
+                self._row_version = row.version
+            elif wall_time - value.get("at", 0.0) > ROW_STALE_SECONDS:
+                operation = store.Operation(row.key, None, row.version)
+                self._table.transact([operation], _ignore)
+            else:
+                seeds.append(models.Address.parse(value["address"]))
+        self._mesh.set_seeds(seeds)
+        if not self._leaving:
+            self._write_row(wall_time)
+
+    def _write_row(self, wall_time: float) -> None:
+        """Write the own row."""
+        value = {
+            "address": self._balancer.identity.address,
+            "at": round(wall_time, 3),
+        }
+        expected = self._row_version
+        operation = store.Operation(self._key, value, expected)
+
+        def done(result: list[store.Row] | exceptions.PlatformError) -> None:
+            if result == []:
+                self._row_version = expected + 1
+
+        self._table.transact([operation], done)
+
+
+def _ignore(result: object) -> None:
+    """Leave a failed write to the next time."""
--- /dev/null
+++ b/tarragonlift/components/logs/__init__.py
@@ -0,0 +1,42 @@
+"""Structured logs by eliot."""
+
+from __future__ import annotations
+
+import sys
+from typing import Any
+from typing import TextIO
+
+import eliot
+
+from tarragonlift.core import timeline
+
+MESSAGE_ACTION = "tarragonlift:action"
+MESSAGE_ERROR = "tarragonlift:error"
+MESSAGE_EVENT = "tarragonlift:event"
+
+
+def setup_logs(stream: TextIO | None = None) -> None:
+    """Write logs, a JSON document on each line."""
+    eliot.to_file(stream or sys.stderr)
+
+
+def log_event(event: timeline.Event) -> None:
+    """Log an event of the time line."""
+    eliot.log_message(MESSAGE_EVENT, **event.to_document())
+
+
+def log_error(error: BaseException, **fields: Any) -> None:
+    """Log an error by its type."""
+    eliot.log_message(
+        MESSAGE_ERROR,
+        error=type(error).__name__,
+        reason=str(error),
+        **fields,
+    )
+
+
+def log_action(operator: str, method: str, path: str) -> None:
+    """Log what an operator changed."""
+    eliot.log_message(
+        MESSAGE_ACTION, operator=operator, method=method, path=path
+    )
--- /dev/null
+++ b/tarragonlift/components/peers/const.py
@@ -0,0 +1,16 @@
+"""Constants of the streams between daemons."""
+
+from __future__ import annotations
+
+ROUND_SECONDS = 0.5
+NEWS_SECONDS = 0.05
+NEWS_FANOUT = 3
+MESSAGE_BYTES_MOST = 4 << 20
+NONCE_BYTES = 16
+RECONNECT_SECONDS = 1.0
+
+TYPE_HELLO = "hello"
+TYPE_PROOF = "proof"
+TYPE_ROUND = "round"
+TYPE_FETCH = "fetch"
+TYPE_DOCUMENT = "document"
--- /dev/null
+++ b/tarragonlift/components/peers/mesh.py
@@ -0,0 +1,201 @@
+"""Gossip with the other daemons over a few streams."""
+
+from __future__ import annotations
+
+from collections import abc
+import random
+import socket
+import time
+
+from tarragonlift.components.data_path import poller as poller_module
+from tarragonlift.components.data_path import stream
+from tarragonlift.components.peers import const
+from tarragonlift.components.peers import link
+from tarragonlift.components.peers import models
+from tarragonlift.core import balancer as balancer_module
+from tarragonlift.core import hlc
+from tarragonlift.core import models as core_models
+from tarragonlift.core import replica
+
+Address = core_models.Address
+
+
+class Mesh:
+    """Spreads this daemon's state and takes that of others."""
+
+    def __init__(
+        self,
+        poller: poller_module.DataPoller,
+        balancer: balancer_module.Balancer,
+        seeds: abc.Sequence[Address],
+        keys: abc.Callable[[], abc.Sequence[bytes]],
+        rng: random.Random,
+    ) -> None:
+        """Know these addresses to begin with."""
+        self._poller = poller
+        self._balancer = balancer
+        self._seeds = list(seeds)
+        self._keys = keys
+        self._rng = rng
+        self._listener: stream.Listener | None = None
+        self._links: dict[Address, link.PeerLink] = {}
+        self._accepted: set[link.PeerLink] = set()
+        self._fetching: dict[str, abc.Callable[[bytes], None]] = {}
+        self._news_due = False
+        self.own_address: Address | None = None
+        self.documents: dict[str, bytes] = {}
+        self.on_changes: abc.Callable[[], None] = _nothing
+        self._closed_bytes = 0
+
+    @property
+    def bytes_sent(self) -> int:
+        """Return how many bytes went to other daemons."""
+        links = [*self._links.values(), *self._accepted]
+        return self._closed_bytes + sum(one.bytes_sent for one in links)
+
+    def listen(self, address: Address) -> Address:
+        """Take streams of other daemons; return the address."""
+        self._listener = stream.Listener(
+            self._poller, address, self._on_accept
+        )
+        self.own_address = self._listener.address
+        self._tick(time.monotonic())
+        return self.own_address
+
+    def set_seeds(self, seeds: abc.Iterable[Address]) -> None:
+        """Know also these addresses, read from the platform's table."""
+        self._seeds.extend(one for one in seeds if one not in self._seeds)
+
+    def fetch(
+        self, digest: str, callback: abc.Callable[[bytes], None]
+    ) -> None:
+        """Ask a peer for the bytes of a configuration."""
+        target = self._choose()
+        if target is None:
+            return
+        self._fetching[digest] = callback
+        self._link_to(target, models.Fetch(digest))
+
+    def spread_news(self) -> None:
+        """Tell news to a few peers soon."""
+        if self._news_due:
+            return
+        self._news_due = True
+        when = time.monotonic() + const.NEWS_SECONDS
+        self._poller.timers.call_at(when, self._send_news)
+
+    def close(self) -> None:
+        """Close all streams."""
+        if self._listener is not None:
+            self._listener.close()
+        for one in [*self._links.values(), *self._accepted]:
+            one.close()
+
+    def _tick(self, now: float) -> None:
+        """Make a round with one peer."""
+        self._poller.timers.call_at(now + const.ROUND_SECONDS, self._tick)
+        message = self._gossip(now)
+        target = self._choose()
+        if target is not None:
+            self._link_to(target, message)
+
+    def _send_news(self, now: float) -> None:
+        """Pass changes on to a few peers at once."""
+        self._news_due = False
+        replica_ = self._balancer.replica
+        if not replica_.has_news:
+            return
+        message = self._gossip(now)
+        for target in self._choose_some(const.NEWS_FANOUT):
+            self._link_to(target, message)
+
+    def _gossip(self, now: float) -> models.Gossip:
+        """Return the next round."""
+        stamp = self._balancer.timeline.clock.tick(time.time())
+        heard = self._balancer.replica.make_round(now)
+        return models.Gossip(heard, stamp.wall_ms, stamp.counter)
+
+    def _known(self) -> list[Address]:
+        """Return the addresses of other daemons that may be alive."""
+        found = set(self._seeds)
+        alive = set(self._balancer.replica.alive(time.monotonic()))
+        for item in self._balancer.replica.items(replica.KIND_MEMBER):
+            if item.name in alive:
+                found.add(Address.parse(item.value["address"]))
+        found.discard(self.own_address or Address("", 0))
+        return sorted(found, key=str)
+
+    def _choose(self) -> Address | None:
+        """Return a peer by chance."""
+        known = self._known()
+        return self._rng.choice(known) if known else None
+
+    def _choose_some(self, count: int) -> list[Address]:
+        """Return a few peers by chance."""
+        known = self._known()
+        return self._rng.sample(known, min(count, len(known)))
+
+    def _link_to(self, address: Address, message: models.Message) -> None:
+        """Send a message to a peer, connecting first where needed."""
+        known = self._links.get(address)
+        if known is not None and not known.closed:
+            if known.verified or isinstance(message, models.Fetch):
+                known.send(message)
+            return
+        sock = stream.connect(address)
+        if sock is None:
+            return
+        opened = self._create(sock, connecting=True)
+        self._links[address] = opened
+        opened.send(message)
+
+    def _create(self, sock: socket.socket, connecting: bool) -> link.PeerLink:
+        """Return a stream on the socket."""
+        return link.PeerLink(
+            self._poller,
+            sock,
+            self._balancer.identity.daemon,
+            self._keys(),
+            self._on_message,
+            self._on_closed,
+            connecting,
+        )
+
+    def _on_accept(self, sock: socket.socket, peer: tuple[str, int]) -> None:
+        """Take the stream of another daemon."""
+        self._accepted.add(self._create(sock, connecting=False))
+
+    def _on_closed(self, one: link.PeerLink) -> None:
+        """Forget a stream."""
+        self._closed_bytes += one.bytes_sent
+        self._accepted.discard(one)
+        for address, known in list(self._links.items()):
+            if known is one:
+                del self._links[address]
+
+    def _on_message(
+        self, sender: link.PeerLink, message: models.Message
+    ) -> None:
+        """Take a message of a verified peer."""
+        if isinstance(message, models.Gossip):
+            self._on_gossip(message)
+        elif isinstance(message, models.Fetch):
+            data = self.documents.get(message.digest, b"")
+            sender.send(models.Document(message.digest, data))
+        elif isinstance(message, models.Document):
+            callback = self._fetching.pop(message.digest, None)
+            if callback is not None and message.data:
+                callback(message.data)
+
+    def _on_gossip(self, message: models.Gossip) -> None:
+        """Take a round and pass on what is new."""
+        now = time.monotonic()
+        stamp = hlc.Stamp(message.wall_ms, message.counter)
+        self._balancer.timeline.clock.observe(stamp, time.time())
+        changed = self._balancer.replica.receive(message.round, now)
+        if changed:
+            self.on_changes()
+
+
+def _nothing() -> None:
+    """Do nothing."""
--- /dev/null
+++ b/tarragonlift/components/peers/models.py
@@ -0,0 +1,99 @@
+"""Messages between daemons and their form on the wire."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import attrs
+
+from tarragonlift.components.peers import const
+from tarragonlift.core import replica
+from tarragonlift import exceptions
+
+
+@attrs.frozen
+class Hello:
+    """First message of each side: its name and a number used once."""
+
+    daemon: str
+    nonce: bytes
+
+
+@attrs.frozen
+class Proof:
+    """Shows that the sender holds the shared key."""
+
+    digest: bytes
+
+
+@attrs.frozen
+class Gossip:
+    """A round of gossip, with the sender's clock."""
+
+    round: replica.Round
+    wall_ms: int
+    counter: int
+
+
+@attrs.frozen
+class Fetch:
+    """Asks for the bytes of a configuration by their digest."""
+
+    digest: str
+
+
+@attrs.frozen
+class Document:
+    """The bytes of a configuration; empty where they are not at hand."""
+
+    digest: str
+    data: bytes
+
+
+Message = Hello | Proof | Gossip | Fetch | Document
+
+
+def encode(message: Message) -> list[Any]:
+    """Return the message as plain data for msgpack."""
+    if isinstance(message, Hello):
+        return [const.TYPE_HELLO, message.daemon, message.nonce]
+    if isinstance(message, Proof):
+        return [const.TYPE_PROOF, message.digest]
+    if isinstance(message, Fetch):
+        return [const.TYPE_FETCH, message.digest]
+    if isinstance(message, Document):
+        return [const.TYPE_DOCUMENT, message.digest, message.data]
+    items = [
+        [one.kind, one.name, one.version, one.rank, one.origin, one.value]
+        for one in message.round.items
+    ]
+    return [
+        const.TYPE_ROUND,
+        message.round.sender,
+        message.round.beats,
+        items,
+        message.wall_ms,
+        message.counter,
+    ]
+
+
+def decode(data: Any) -> Message:
+    """Return the message, or raise PeerError."""
+    try:
+        kind, *rest = data
+        if kind == const.TYPE_HELLO:
+            return Hello(*rest)
+        if kind == const.TYPE_PROOF:
+            return Proof(*rest)
+        if kind == const.TYPE_FETCH:
+            return Fetch(*rest)
+        if kind == const.TYPE_DOCUMENT:
+            return Document(*rest)
+        if kind == const.TYPE_ROUND:
+            sender, beats, items, wall_ms, counter = rest
+            taken = tuple(replica.Item(*item) for item in items)
+            heard = replica.Round(sender, dict(beats), taken)
+            return Gossip(heard, wall_ms, counter)
+    except (TypeError, ValueError) as error:
+        raise exceptions.PeerError(str(error)) from error
+    raise exceptions.PeerError(f"message type {kind!r} is not known")
--- /dev/null
+++ b/tarragonlift/core/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions without input or output; the present time is an argument."""
--- /dev/null
+++ b/tarragonlift/core/actions.py
@@ -0,0 +1,108 @@
+"""What the decisions about one request ask the data path to do."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from tarragonlift.core import backend as backend_module
+from tarragonlift.core import models
+from tarragonlift import exceptions
+
+if TYPE_CHECKING:
+    from tarragonlift.core import call as call_module
+
+
+@attrs.define(eq=False)
+class Attempt:
+    """One sending of a request to one backend server."""
+
+    number: int
+    backend: backend_module.Backend
+    started_at: float
+
+
+@attrs.frozen
+class Action:
+    """Base of everything that a decision asks for."""
+
+
+@attrs.frozen
+class Send(Action):
+    """Send the request to the backend server of the attempt."""
+
+    attempt: Attempt
+
+
+@attrs.frozen
+class Relay(Action):
+    """Pass the answer of this attempt on to the caller."""
+
+    attempt: Attempt
+
+
+@attrs.frozen
+class Abandon(Action):
+    """Close the connection of this attempt; its answer is not wanted."""
+
+    attempt: Attempt
+
+
+@attrs.frozen
+class Refuse(Action):
+    """Give the caller an answer made by tarragonlift itself."""
+
+    refusal: exceptions.Refusal
+
+
+@attrs.frozen
+class CutShort(Action):
+    """Reset the caller's connection: the answer can't become whole."""
+
+
+@attrs.frozen
+class Replay(Action):
+    """Give the caller the answer that was recorded earlier."""
+
+    answer: models.RecordedAnswer
+
+
+@attrs.frozen
+class Evict(Action):
+    """Tell another call that it gave way in the queue."""
+
+    call: call_module.Call
+
+
+@attrs.frozen
+class Claim(Action):
+    """Claim the key of a request that runs once."""
+
+
+@attrs.frozen
+class Release(Action):
+    """Give the claim back: the request certainly did not run."""
+
+
+@attrs.frozen
+class Record(Action):
+    """Record the whole answer of a request that runs once."""
+
+    attempt: Attempt
+
+
+@attrs.frozen
+class WakeAt(Action):
+    """Call ``on_wake`` at this time."""
+
+    when: float
+
+
+@attrs.frozen
+class Note(Action):
+    """Put an event on the time line."""
+
+    kind: str
+    subject: str
+    detail: str
--- /dev/null
+++ b/tarragonlift/core/backend.py
@@ -0,0 +1,75 @@
+"""What a daemon knows of one backend server."""
+
+from __future__ import annotations
+
+import attrs
+
+from tarragonlift.core import const
+from tarragonlift.core import latency
+from tarragonlift.core import models
+
+LATENCY_HALF_LIFE_S = 1.0
+LATENCY_START_S = 0.01
+
+
+@attrs.define(eq=False)
+class Backend:
+    """One backend server as this daemon sees it.
+
+    ``share`` is how many requests at once this daemon may put on it; the
+    shares of all daemons add up to at most the limit of the service. A cold
+    server gets work from one daemon only, the warmer: ``cold_limit`` requests
+    at once at first, growing with each success up to ``limit``.
+    """
+
+    instance: models.Instance
+    share: int = 1
+    limit: int = 1
+    cold_limit: int = 1
+    warm_after: int = 1
+    in_flight: int = 0
+    started: int = 0
+    warmth: const.Warmth = const.Warmth.COLD
+    start_id: str = ""
+    leaving: bool = False
+    listed_leaving: bool = False
+    data_centre_out: bool = False
+    is_warmer: bool = True
+    successes: int = 0
+    set_aside_until: float = 0.0
+    reported_load: float = 0.0
+    reported_at: float = 0.0
+    sent_at: dict[object, float] = attrs.field(factory=dict)
+    latency_mean: latency.AgeingMean = attrs.field(
+        factory=lambda: latency.AgeingMean(
+            LATENCY_HALF_LIFE_S, LATENCY_START_S
+        )
+    )
+
+    @property
+    def key(self) -> str:
+        """Return the name under which daemons speak of this server."""
+        return str(self.instance.address)
+
+    @property
+    def room(self) -> int:
+        """Return how many more requests this daemon may send to it now."""
+        if self.leaving or self.listed_leaving or self.data_centre_out:
+            return 0
+        return self._allowed() - self.in_flight
+
+    @property
+    def stalled_since(self) -> float | None:
+        """Return when the oldest request in flight was sent."""
+        if not self.sent_at:
+            return None
+        return next(iter(self.sent_at.values()))
+
+    def _allowed(self) -> int:
+        """Return the requests at once that its warmth allows."""
+        if self.warmth is const.Warmth.WARM:
+            return self.share
+        if not self.is_warmer:
+            return 0
+        step = (self.limit - self.cold_limit) * self.successes
+        return self.cold_limit + step // self.warm_after
--- /dev/null
+++ b/tarragonlift/core/balancer.py
@@ -0,0 +1,414 @@
+"""Everything that one daemon decides, in one place."""
+
+from __future__ import annotations
+
+from collections import abc
+import random
+from typing import Any
+
+import attrs
+
+from tarragonlift.core import actions
+from tarragonlift.core import call as call_module
+from tarragonlift.core import claims
+from tarragonlift.core import const
+from tarragonlift.core import models
+from tarragonlift.core import pool as pool_module
+from tarragonlift.core import replica
+from tarragonlift.core import routing
+from tarragonlift.core import timeline
+from tarragonlift import exceptions
+
+FAILURES_COLD = frozenset(
+    (const.AttemptFailure.CONNECT_FAILED, const.AttemptFailure.SHED)
+)
+RANK_OUT = 1
+RANK_COLD = 1
+RANK_LEAVING = 2
+
+
+@attrs.frozen
+class Identity:
+    """Who this daemon is."""
+
+    daemon: str
+    data_centre: str
+    address: str
+    admin_address: str
+
+
+class Balancer:
+    """The state of one daemon and its decisions.
+
+    Times are seconds of a monotonic clock, except ``wall_time``.
+    """
+
+    def __init__(
+        self,
+        identity: Identity,
+        rng: random.Random,
+        policy: str = routing.POLICY_LEAST_IN_FLIGHT,
+    ) -> None:
+        """Start without configuration: no request is taken yet."""
+        self._identity = identity
+        self._rng = rng
+        self._policy = policy
+        self._configuration: models.Configuration | None = None
+        self._version = 0
+        self._pools: dict[str, pool_module.ServicePool] = {}
+        self._instances: tuple[models.Instance, ...] = ()
+        self._members: list[str] = []
+        self._number = 0
+        self.replica = replica.Replica(identity.daemon, rng)
+        self.claims = claims.ClaimBook(identity.daemon)
+        self.timeline = timeline.Timeline(identity.daemon)
+
+    @property
+    def identity(self) -> Identity:
+        """Return who this daemon is."""
+        return self._identity
+
+    def set_addresses(self, address: str, admin_address: str) -> None:
+        """Take the addresses that the kernel gave."""
+        self._identity = attrs.evolve(
+            self._identity, address=address, admin_address=admin_address
+        )
+
+    @property
+    def configuration(self) -> models.Configuration | None:
+        """Return the configuration in force here."""
+        return self._configuration
+
+    @property
+    def version(self) -> int:
+        """Return the version of the configuration in force; 0: none."""
+        return self._version
+
+    @property
+    def pools(self) -> abc.Mapping[str, pool_module.ServicePool]:
+        """Return the pools by the name of their service."""
+        return self._pools
+
+    @property
+    def instances(self) -> tuple[models.Instance, ...]:
+        """Return the platform's list of backend servers."""
+        return self._instances
+
+    def note(
+        self, kind: str, subject: str, detail: str, wall_time: float
+    ) -> timeline.Event:
+        """Put an event on the time line."""
+        return self.timeline.add(kind, subject, detail, wall_time)
+
+    def adopt(
+        self,
+        version: int,
+        configuration: models.Configuration,
+        wall_time: float,
+    ) -> bool:
+        """Follow a configuration; never one that is not newer."""
+        if version <= self._version:
+            return False
+        self._version = version
+        self._configuration = configuration
+        names = {service.name for service in configuration.services}
+        for name in list(self._pools):
+            if name not in names:
+                del self._pools[name]
+        for service in configuration.services:
+            self._configure_pool(service)
+        self._refresh()
+        self.replica.put(
+            replica.KIND_APPLIED, self._identity.daemon, {"version": version}
+        )
+        kind = const.EVENT_CONFIGURATION_ADOPTED
+        self.note(kind, str(version), "", wall_time)
+        return True
+
+    def set_instances(self, instances: abc.Iterable[models.Instance]) -> None:
+        """Follow the platform's list of hosts."""
+        self._instances = tuple(instances)
+        self._refresh()
+
+    def update_members(self, now: float) -> bool:
+        """Follow who is alive; return whether that changed."""
+        members = self.replica.alive(now)
+        if members == self._members:
+            return False
+        self._members = members
+        self._refresh()
+        return True
+
+    def open_call(
+        self,
+        head: RequestFacts,
+        now: float,
+    ) -> call_module.Call:
+        """Return the call for a request, or raise a Refusal."""
+        configuration = self._configuration
+        if configuration is None:
+            raise exceptions.Stopping(const.Outcome.NOT_RUN)
+        service = configuration.service_for(head.host, head.path)
+        if service is None:
+            raise exceptions.NoSuchService(const.Outcome.NOT_RUN)
+        rule = service.rule_for(head.method, head.path)
+        key = ""
+        if rule.run is const.Run.ONCE:
+            key = head.field(rule.key_header)
+            if not key:
+                raise exceptions.KeyMissing(const.Outcome.NOT_RUN)
+        caller = head.peer
+        if service.caller_header:
+            caller = head.field(service.caller_header) or caller
+        request = models.Request(
+            request_id=head.request_id,
+            service=service,
+            run=rule.run,
+            key=key,
+            method=head.method,
+            path=head.path,
+            caller=caller,
+            received_at=now,
+            deadline_at=now + (head.timeout_s or service.deadline_s),
+            fingerprint=head.fingerprint if key else "",
+        )
+        return call_module.Call(request, self._pools[service.name])
+
+    def new_request_id(self) -> str:
+        """Return an identifier that no other request has."""
+        self._number += 1
+        return f"{self._identity.daemon}-{self._number:x}"
+
+    def on_server_headers(
+        self, one: pool_module.Backend, start_id: str, load: float, now: float
+    ) -> None:
+        """Learn from what a backend server says of itself."""
+        one.reported_load = load
+        one.reported_at = now
+        if start_id and start_id != one.start_id:
+            self._on_start_id(one, start_id)
+
+    def on_server_failure(
+        self,
+        one: pool_module.Backend,
+        failure: const.AttemptFailure,
+        wall_time: float,
+    ) -> None:
+        """Learn from a failure of a backend server."""
+        if failure is const.AttemptFailure.DRAINING:
+            if not one.leaving:
+                self.set_leaving(one, wall_time)
+        elif failure in FAILURES_COLD:
+            self.set_cold(one, wall_time)
+
+    def set_leaving(self, one: pool_module.Backend, wall_time: float) -> None:
+        """Send no new work to a backend server, and tell the others."""
+        one.leaving = True
+        self._tell(one, RANK_LEAVING)
+        self.note(const.EVENT_BACKEND_LEAVING, one.key, "", wall_time)
+
+    def set_cold(self, one: pool_module.Backend, wall_time: float) -> None:
+        """Treat a backend server as cold, and tell the others."""
+        was_warm = one.warmth is const.Warmth.WARM
+        service = self._pool_of(one)
+        service.set_cold(one)
+        if was_warm:
+            self._tell(one, RANK_COLD)
+            self.note(const.EVENT_BACKEND_COLD, one.key, "", wall_time)
+
+    def on_connections_closed(
+        self, address: models.Address, wall_time: float
+    ) -> None:
+        """A backend server closed its connections: it may have restarted."""
+        for pool in self._pools.values():
+            one = pool.find(str(address))
+            if one is not None and one.warmth is const.Warmth.WARM:
+                self.set_cold(one, wall_time)
+
+    def on_warm(self, key: str) -> None:
+        """Tell the others that a backend server is warm."""
+        for pool in self._pools.values():
+            one = pool.find(key)
+            if one is not None:
+                self._tell(one, 0)
+
+    def set_data_centre(
+        self, name: str, state: const.DataCentreState, wall_time: float
+    ) -> replica.Item:
+        """Take a data centre out of service or back, and tell the others."""
+        rank = RANK_OUT if state is const.DataCentreState.OUT else 0
+        value = {"state": state.value, "at": round(wall_time, 3)}
+        kind = replica.KIND_DATA_CENTRE
+        item = self.replica.put(kind, name, value, rank)
+        self.follow_replica(wall_time)
+        return item
+
+    def check_capacity_without(self, name: str) -> None:
+        """Raise CapacityShort where the rest can't carry the work.
+
+        For each service, the limits of the backend servers that remain must
+        hold the requests that are in flight now from this daemon.
+        """
+        out = self.data_centres_out() | {name}
+        for service, pool in sorted(self._pools.items()):
+            usable = [
+                one
+                for one in pool.backends
+                if one.instance.data_centre not in out
+                and not (one.leaving or one.listed_leaving)
+            ]
+            load = sum(one.in_flight for one in pool.backends)
+            if not usable or load > sum(one.share for one in usable):
+                raise exceptions.CapacityShort(
+                    f"without {name}, service {service} has "
+                    f"{len(usable)} backend servers; use --force if meant"
+                )
+
+    def data_centres_out(self) -> set[str]:
+        """Return the data centres that get no new work."""
+        out = const.DataCentreState.OUT.value
+        return {
+            item.name
+            for item in self.replica.items(replica.KIND_DATA_CENTRE)
+            if item.value.get("state") == out
+        }
+
+    def follow_replica(self, wall_time: float) -> list[replica.Item]:
+        """Act on what other daemons told; return what changed."""
+        changed = self.replica.take_changes()
+        for item in changed:
+            if item.kind == replica.KIND_DATA_CENTRE:
+                self._refresh()
+                state = str(item.value.get("state"))
+                kind = const.EVENT_DATA_CENTRE
+                self.note(kind, item.name, state, wall_time)
+            elif item.kind == replica.KIND_BACKEND:
+                self._follow_backend(item)
+            elif item.kind == replica.KIND_MEMBER:
+                self._refresh()
+        return changed
+
+    def carry_out(
+        self, action: actions.Note, wall_time: float
+    ) -> timeline.Event:
+        """Put a decision's event on the time line."""
+        if action.kind == const.EVENT_BACKEND_WARM:
+            self.on_warm(action.subject)
+        return self.note(action.kind, action.subject, action.detail, wall_time)
+
+    def report(self, now: float) -> list[dict[str, Any]]:
+        """Return what the router thinks of each backend server."""
+        return [
+            {
+                "service": name,
+                "address": one.key,
+                "data_centre": one.instance.data_centre,
+                "warmth": one.warmth.value,
+                "leaving": one.leaving or one.listed_leaving,
+                "data_centre_out": one.data_centre_out,
+                "start": one.start_id,
+                "in_flight": one.in_flight,
+                "started": one.started,
+                "share": one.share,
+                "warmer": one.is_warmer,
+                "latency_ms": round(one.latency_mean.mean * 1000, 2),
+                "set_aside": one.set_aside_until > now,
+            }
+            for name, pool in sorted(self._pools.items())
+            for one in pool.backends
+        ]
+
+    def _configure_pool(self, service: models.Service) -> None:
+        """Create or change the pool of a service."""
+        pool = self._pools.get(service.name)
+        if pool is not None:
+            pool.configure(service)
+            return
+        policy = routing.create_policy(self._policy, self._rng)
+        self._pools[service.name] = pool_module.ServicePool(
+            service, self._identity.data_centre, policy
+        )
+
+    def _refresh(self) -> None:
+        """Bring the pools in line with hosts, members and data centres."""
+        out = self.data_centres_out()
+        members = self._member_places()
+        for name, pool in self._pools.items():
+            pool.set_instances(
+                one for one in self._instances if one.service == name
+            )
+            pool.set_members(self._identity.daemon, members)
+            pool.set_data_centres_out(out)
+        for item in self.replica.items(replica.KIND_BACKEND):
+            self._follow_backend(item)
+
+    def _member_places(self) -> dict[str, str]:
+        """Return the live daemons with their data centres."""
+        places = {self._identity.daemon: self._identity.data_centre}
+        for name in self._members:
+            item = self.replica.get(replica.KIND_MEMBER, name)
+            if item is not None:
+                places[name] = str(item.value["data_centre"])
+        return places
+
+    def _on_start_id(self, one: pool_module.Backend, start_id: str) -> None:
+        """A backend server was started anew, or is seen first."""
+        first = not one.start_id
+        one.start_id = start_id
+        one.leaving = False
+        item = self.replica.get(replica.KIND_BACKEND, one.key)
+        if first and item is not None and item.value["start"] == start_id:
+            self._follow_backend(item)
+            return
+        self._pool_of(one).set_cold(one)
+
+    def _follow_backend(self, item: replica.Item) -> None:
+        """Take over what another daemon knows of a backend server."""
+        for pool in self._pools.values():
+            one = pool.find(item.name)
+            if one is None:
+                continue
+            start_id = item.value["start"]
+            if item.origin == self._identity.daemon:
+                continue
+            if one.start_id and one.start_id != start_id:
+                one.leaving = False
+            one.start_id = start_id
+            one.leaving = bool(item.value["leaving"])
+            warm = item.value["warmth"] == const.Warmth.WARM.value
+            if warm:
+                one.warmth = const.Warmth.WARM
+            elif one.warmth is const.Warmth.WARM:
+                pool.set_cold(one)
+
+    def _tell(self, one: pool_module.Backend, rank: int) -> None:
+        """Tell the others what this daemon knows of a backend server."""
+        value = {
+            "start": one.start_id,
+            "warmth": one.warmth.value,
+            "leaving": one.leaving,
+        }
+        self.replica.put(replica.KIND_BACKEND, one.key, value, rank)
+
+    def _pool_of(self, one: pool_module.Backend) -> pool_module.ServicePool:
+        """Return the pool of a backend server."""
+        return self._pools[one.instance.service]
+
+
+@attrs.define
+class RequestFacts:
+    """What the core needs of the head of a request."""
+
+    request_id: str
+    method: str
+    host: str
+    path: str
+    peer: str
+    timeout_s: float
+    fingerprint: str
+    fields: abc.Mapping[bytes, bytes]
+
+    def field(self, name: str) -> str:
+        """Return the value of a header field, or an empty string."""
+        value = self.fields.get(name.lower().encode(), b"")
+        return value.decode("latin-1")
--- /dev/null
+++ b/tarragonlift/core/pool.py
@@ -0,0 +1,191 @@
+"""The backend servers of one service, and the requests that wait for one."""
+
+from __future__ import annotations
+
+from collections import abc
+from typing import TYPE_CHECKING
+
+from tarragonlift.core import backend as backend_module
+from tarragonlift.core import budget
+from tarragonlift.core import const
+from tarragonlift.core import fair_queue
+from tarragonlift.core import latency
+from tarragonlift.core import models
+from tarragonlift.core import rendezvous
+from tarragonlift.core import routing
+
+if TYPE_CHECKING:
+    from tarragonlift.core import call as call_module
+
+HEDGE_DELAY_START_S = 0.05
+# The delay aims at a little less than the budget, so that it never runs out.
+HEDGE_AIM = 0.8
+
+Backend = backend_module.Backend
+
+
+class ServicePool:
+    """Routes the requests of one service."""
+
+    def __init__(
+        self,
+        service: models.Service,
+        data_centre: str,
+        policy: routing.RoutingPolicy,
+    ) -> None:
+        """Start without backend servers."""
+        self._service = service
+        self._data_centre = data_centre
+        self._policy = policy
+        self._backends: dict[str, Backend] = {}
+        self._own: list[Backend] = []
+        self._other: list[Backend] = []
+        self.queue: fair_queue.FairQueue[call_module.Call] = (
+            fair_queue.FairQueue(service.queue_length)
+        )
+        self.retry_budget = budget.ExtraCallBudget(service.retry_share)
+        self.hedge_budget = budget.ExtraCallBudget(service.hedge_share)
+        self._latency = latency.QuantileTracker(
+            1.0 - HEDGE_AIM * service.hedge_share, HEDGE_DELAY_START_S
+        )
+
+    @property
+    def service(self) -> models.Service:
+        """Return the service as configured."""
+        return self._service
+
+    @property
+    def backends(self) -> abc.Collection[Backend]:
+        """Return all backend servers of the service."""
+        return self._backends.values()
+
+    @property
+    def hedge_delay(self) -> float:
+        """Return after how many seconds a second call is worth its cost."""
+        return self._latency.estimate
+
+    def configure(self, service: models.Service) -> None:
+        """Follow a new version of the service's configuration."""
+        if service == self._service:
+            return
+        if service.queue_length != self._service.queue_length:
+            self.queue.resize(service.queue_length)
+        self.retry_budget.set_share(service.retry_share)
+        self.hedge_budget.set_share(service.hedge_share)
+        self._service = service
+
+    def set_instances(self, instances: abc.Iterable[models.Instance]) -> None:
+        """Follow the platform's list of hosts."""
+        listed = {str(one.address): one for one in instances}
+        for key, instance in listed.items():
+            known = self._backends.get(key)
+            if known is None:
+                known = Backend(instance)
+                self._backends[key] = known
+            known.instance = instance
+            known.listed_leaving = instance.leaving
+        for key in list(self._backends):
+            if key not in listed:
+                self._backends.pop(key).leaving = True
+        own = self._data_centre
+        everything = list(self._backends.values())
+        self._own = [b for b in everything if b.instance.data_centre == own]
+        self._other = [b for b in everything if b.instance.data_centre != own]
+
+    def set_members(self, daemon: str, members: abc.Mapping[str, str]) -> None:
+        """Divide limits and warming duties between the live daemons.
+
+        ``members`` are their names with their data centres.
+        """
+        service = self._service
+        for one in self._backends.values():
+            ranked = rendezvous.rank(one.key, members)
+            users = min(len(ranked), service.limit) or 1
+            is_user = daemon in ranked[:users]
+            one.share = service.limit // users if is_user else 0
+            near = one.instance.data_centre
+            ranked.sort(key=lambda member: members[member] != near)
+            one.is_warmer = ranked[0] == daemon
+            one.limit = service.limit
+            one.cold_limit = min(service.cold_limit, service.limit)
+            one.warm_after = service.warm_after
+
+    def set_data_centres_out(self, out: abc.Container[str]) -> None:
+        """Send no new work to these data centres."""
+        for one in self._backends.values():
+            one.data_centre_out = one.instance.data_centre in out
+
+    def find(self, key: str) -> Backend | None:
+        """Return the backend server of this name."""
+        return self._backends.get(key)
+
+    def choose(
+        self, now: float, exclude: abc.Container[str] = ()
+    ) -> Backend | None:
+        """Return a backend server with room, or None."""
+        if not self._policy.prefers_own_data_centre:
+            return self._choose_of(self._own + self._other, now, exclude)
+        return self._choose_of(self._own, now, exclude) or self._choose_of(
+            self._other, now, exclude
+        )
+
+    def has_usable(self) -> bool:
+        """Return whether any backend server may get work at some time."""
+        return any(
+            not (one.leaving or one.listed_leaving or one.data_centre_out)
+            for one in self._backends.values()
+        )
+
+    def start(self, one: Backend, attempt: object, now: float) -> None:
+        """Count a request that is sent to the backend server."""
+        one.in_flight += 1
+        one.started += 1
+        one.sent_at[attempt] = now
+
+    def finish(self, one: Backend, attempt: object) -> float | None:
+        """Count a request that ended; return when it was sent."""
+        sent_at = one.sent_at.pop(attempt, None)
+        if sent_at is not None:
+            one.in_flight -= 1
+        return sent_at
+
+    def add_latency(self, one: Backend, value: float, now: float) -> None:
+        """Learn from the time until the head of an answer came."""
+        one.latency_mean.add(value, now)
+        self._latency.add(value)
+
+    def add_success(self, one: Backend) -> bool:
+        """Count a whole answer; return whether the server became warm."""
+        if one.warmth is const.Warmth.WARM:
+            return False
+        one.warmth = const.Warmth.WARMING
+        one.successes += 1
+        if one.successes < one.warm_after:
+            return False
+        one.warmth = const.Warmth.WARM
+        return True
+
+    def set_cold(self, one: Backend) -> None:
+        """Start to warm the backend server from the beginning."""
+        one.warmth = const.Warmth.COLD
+        one.successes = 0
+
+    def set_aside(self, one: Backend, now: float) -> None:
+        """Prefer others for a moment after a failure."""
+        one.set_aside_until = now + const.SET_ASIDE_SECONDS
+
+    def _choose_of(
+        self,
+        backends: list[Backend],
+        now: float,
+        exclude: abc.Container[str],
+    ) -> Backend | None:
+        """Return a backend server with room among these."""
+        candidates = [
+            one
+            for one in backends
+            if one.room > 0 and (not exclude or one.key not in exclude)
+        ]
+        if not candidates:
+            return None
+        return self._policy.choose(candidates, now)
--- /dev/null
+++ b/tarragonlift/core/timeline.py
@@ -0,0 +1,64 @@
+"""The time line of one daemon: a bounded ring of events."""
+
+from __future__ import annotations
+
+import collections
+
+import attrs
+
+from tarragonlift.core import hlc
+
+RING_LENGTH = 4096
+
+
+@attrs.frozen
+class Event:
+    """Something that happened, with its stamp."""
+
+    stamp: hlc.Stamp
+    daemon: str
+    kind: str
+    subject: str
+    detail: str
+
+    def to_document(self) -> dict[str, object]:
+        """Return the event as plain data."""
+        return {
+            "wall_ms": self.stamp.wall_ms,
+            "counter": self.stamp.counter,
+            "daemon": self.daemon,
+            "kind": self.kind,
+            "subject": self.subject,
+            "detail": self.detail,
+        }
+
+
+class Timeline:
+    """Keeps the newest events of this daemon."""
+
+    def __init__(self, daemon: str, length: int = RING_LENGTH) -> None:
+        """Start empty."""
+        self._daemon = daemon
+        self._ring: collections.deque[Event] = collections.deque(maxlen=length)
+        self.clock = hlc.HybridClock()
+
+    def add(
+        self, kind: str, subject: str, detail: str, wall_time: float
+    ) -> Event:
+        """Add an event."""
+        stamp = self.clock.tick(wall_time)
+        event = Event(stamp, self._daemon, kind, subject, detail)
+        self._ring.append(event)
+        return event
+
+    def events(
+        self, since_ms: int = 0, kind: str = "", subject: str = ""
+    ) -> list[Event]:
+        """Return the events that match, oldest first."""
+        return [
+            event
+            for event in self._ring
+            if event.stamp.wall_ms >= since_ms
+            and (not kind or event.kind == kind)
+            and (not subject or subject in (event.subject, event.detail))
+        ]
--- /dev/null
+++ b/tarragonlift/helpers/__init__.py
@@ -0,0 +1,1 @@
+"""What several parts use."""
--- /dev/null
+++ b/tarragonlift/helpers/jsonc.py
@@ -0,0 +1,48 @@
+"""Reading JSON with comments."""
+
+from __future__ import annotations
+
+import pathlib
+from typing import Any
+
+import pyjson5
+
+from tarragonlift import exceptions
+
+
+def parse(text: str, file: str) -> Any:
+    """Return the document in the text, or raise InvalidDocument."""
+    try:
+        return pyjson5.decode(text)
+    except pyjson5.Json5DecoderException as error:
+        raise exceptions.InvalidDocument(
+            [exceptions.Problem(file, _place(text, error), _advice(error))]
+        ) from error
+
+
+def read(path: pathlib.Path) -> Any:
+    """Return the document in the file, or raise InvalidDocument."""
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise exceptions.InvalidDocument(
+            [exceptions.Problem(str(path), "", f"can't be read: {error}")]
+        ) from error
+    return parse(text, str(path))
+
+
+def _place(text: str, error: pyjson5.Json5DecoderException) -> str:
+    """Return the line on which the parser stopped."""
+    for argument in error.args:
+        if isinstance(argument, str) and "near " in argument:
+            digits = argument.rsplit("near ", 1)[1].split(",")[0].strip(" .")
+            if digits.isdigit():
+                line = text.count("\n", 0, int(digits)) + 1
+                return f"line {line}"
+    return f"line {text.count(chr(10)) + 1}"
+
+
+def _advice(error: pyjson5.Json5DecoderException) -> str:
+    """Return what the parser said, as advice."""
+    said = str(error.args[0]) if error.args else type(error).__name__
+    return f"not valid JSON with comments ({said}); mend the syntax"
--- /dev/null
+++ b/tarragonlift_lab/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins, load and experiments; the product never imports this."""
--- /dev/null
+++ b/tarragonlift_lab/cli.py
@@ -0,0 +1,114 @@
+"""The commands of the lab."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import pathlib
+from typing import Annotated
+
+import typer
+
+from tarragonlift_lab import demo as demo_module
+from tarragonlift_lab import http
+from tarragonlift_lab import platform as platform_module
+from tarragonlift_lab import server as server_module
+
+app = typer.Typer(
+    no_args_is_help=True,
+    help="Stand-ins, load and experiments.",
+    add_completion=False,
+)
+
+ReadyOption = Annotated[
+    pathlib.Path | None,
+    typer.Option(help="File that gets the addresses."),
+]
+
+
+@app.command()
+def platform(port: int = 0, ready_file: ReadyOption = None) -> None:
+    """Run the stand-in for the platform's services."""
+
+    async def serve() -> None:
+        serving = await platform_module.run(port)
+        _tell(ready_file, {"address": serving.address})
+        await asyncio.Event().wait()
+
+    asyncio.run(serve())
+
+
+@app.command()
+def servers(
+    name: str = "server",
+    count: int = 1,
+    seed: int = 1,
+    slots: int = 6,
+    mean_ms: float = 5.0,
+    sigma: float = 0.5,
+    cold_bears: int = 2,
+    warm_after: int = 40,
+    line: int = 200,
+    stall_every_s: float = 0.0,
+    load_lag_s: float = 0.5,
+    starts_warm: bool = False,
+    ready_file: ReadyOption = None,
+) -> None:
+    """Run stand-in backend servers, all in one process."""
+    model = server_module.Model(
+        slots=slots,
+        mean_ms=mean_ms,
+        sigma=sigma,
+        cold_bears=cold_bears,
+        warm_after=warm_after,
+        line=line,
+        stall_every_s=stall_every_s,
+        load_lag_s=load_lag_s,
+        starts_warm=starts_warm,
+    )
+
+    async def serve() -> None:
+        addresses = []
+        for number in range(count):
+            own = f"{name}-{number}"
+            one = server_module.BackendServer(own, model, seed * 1000 + number)
+            serving = await http.serve(one.handle)
+            addresses.append(serving.address)
+        _tell(ready_file, {"addresses": addresses})
+        await asyncio.Event().wait()
+
+    asyncio.run(serve())
+
+
+@app.command()
+def demo(
+    seconds: Annotated[float, typer.Option(help="How long to load.")] = 20.0,
+    json_file: Annotated[
+        pathlib.Path | None, typer.Option("--json", help="File for figures.")
+    ] = None,
+    rate: Annotated[float, typer.Option(help="Calls a second.")] = 200.0,
+    seed: int = 1,
+) -> None:
+    """Run the whole path: platform, servers, daemons, load and faults."""
+    report = demo_module.run(seconds, rate, seed)
+    print(demo_module.describe(report))
+    if json_file is not None:
+        json_file.write_text(json.dumps(report.figures, indent=2))
+    if report.broken:
+        raise typer.Exit(1)
+
+
+def _tell(path: pathlib.Path | None, document: dict[str, object]) -> None:
+    """Write the addresses for whoever started this process."""
+    text = json.dumps(document)
+    if path is None:
+        print(text, flush=True)
+        return
+    partial = path.with_suffix(".partial")
+    partial.write_text(text, encoding="utf-8")
+    partial.replace(path)
+
+
+def main() -> None:
+    """Run a command."""
+    app()
