Let one daemon at a time send to a cold backend server

Change: warming is a duty with a lease on the holder's own clock. It needs a settled process and a majority of the known daemons heard lately; it can be lent for a second to a daemon whose requests wait. The ramp ends at the slots of a server. Membership is a module of its own: a daemon counts in the limits until it told that it leaves or the table confirms that it is gone.

--- a/tarragonlift/cli/output.py
+++ b/tarragonlift/cli/output.py
@@ -63,7 +63,7 @@
     lines.append("backend servers:")
     for one in document["backend_servers"]:
         states = [one["warmth"]]
-        for key in ("leaving", "data_centre_out", "set_aside", "warmer"):
+        for key in ("leaving", "data_centre_out", "set_aside"):
             if one[key]:
                 states.append(key.replace("_", " "))
         lines.append(
--- a/tarragonlift/components/admin/handlers.py
+++ b/tarragonlift/components/admin/handlers.py
@@ -169,7 +169,7 @@
         """Return the daemons and the backend servers."""
         balancer = self._context.balancer
         now = time.monotonic()
-        alive = set(balancer.replica.alive(now))
+        alive = set(balancer.membership.alive(now))
         daemons = [
             {
                 "daemon": item.name,
@@ -212,7 +212,7 @@
 
     def _in_force(self, version: int) -> dict[str, Any]:
         """Return which live daemons have confirmed the version."""
-        alive = self._context.balancer.replica.alive(time.monotonic())
+        alive = self._context.balancer.membership.alive(time.monotonic())
         behind = [
             daemon for daemon in alive if self._applied(daemon) < version
         ]
--- a/tarragonlift/components/daemon/__init__.py
+++ b/tarragonlift/components/daemon/__init__.py
@@ -55,7 +55,7 @@
             str(settings.admin),
         )
         self._balancer = balancer_module.Balancer(
-            identity, rng, settings.policy
+            identity, rng, int(time.time() * 1000), settings.policy
         )
         self._platform = platform.create_platform(
             self._poller, settings.table, settings.objects, settings.hosts
@@ -139,6 +139,7 @@
             self._stopping_since is None
             and self._balancer.version > 0
             and self._hosts.listed
+            and self._balancer.membership.is_settled(time.monotonic())
         )
 
     def _on_signal(self, number: int, frame: Any) -> None:
@@ -149,8 +150,8 @@
     def _tick(self, now: float) -> None:
         """Do what is due at short intervals."""
         self._poller.timers.call_at(now + const.TICK_SECONDS, self._tick)
-        self._balancer.update_members(now)
-        self._balancer.replica.forget_dead(now)
+        for message in self._balancer.tick(now):
+            self._mesh.send_loan(message)
         self._follow()
         self._claims.kick()
         if self._balancer.replica.has_news:
@@ -162,6 +163,7 @@
         """Act on what changed in the replica."""
         if self._balancer.follow_replica(time.time()):
             self._configuration.follow_replica()
+            self._hosts.check_own_item()
             self._mesh.spread_news()
 
     def _go_on_stopping(self, now: float) -> None:
--- a/tarragonlift/components/hosts/__init__.py
+++ b/tarragonlift/components/hosts/__init__.py
@@ -71,6 +71,14 @@
         }
         self._balancer.replica.put(replica.KIND_MEMBER, identity.daemon, value)
 
+    def check_own_item(self) -> None:
+        """Announce anew where others know an earlier start of this daemon."""
+        name = self._balancer.identity.daemon
+        item = self._balancer.replica.get(replica.KIND_MEMBER, name)
+        identity = self._balancer.identity
+        if item is not None and item.value["address"] != identity.address:
+            self._announce()
+
     def _read_hosts(self, now: float) -> None:
         """Read the list of hosts once in a while."""
         when = now + HOSTS_SECONDS
@@ -98,6 +106,11 @@
     def _learn(self, rows: abc.Iterable[store.Row]) -> None:
         """Take the addresses of others; write the own row."""
         wall_time = time.time()
+        rows = list(rows)
+        versions = {
+            row.key.removeprefix(ROW_PREFIX): row.version for row in rows
+        }
+        self._balancer.learn_rows(versions, time.monotonic())
         seeds = []
         self._row_version = 0
         for row in rows:
--- a/tarragonlift/components/peers/mesh.py
+++ b/tarragonlift/components/peers/mesh.py
@@ -16,6 +16,7 @@
 from tarragonlift.core import hlc
 from tarragonlift.core import models as core_models
 from tarragonlift.core import replica
+from tarragonlift.core import warming
 
 Address = core_models.Address
 
@@ -76,6 +77,14 @@
         self._fetching[digest] = callback
         self._link_to(target, models.Fetch(digest))
 
+    def send_loan(self, message: warming.LoanMessage) -> None:
+        """Send a message about a warming duty to the warmer."""
+        name = self._balancer.loan_target(message)
+        item = self._balancer.replica.get(replica.KIND_MEMBER, name)
+        if item is not None and name != self._balancer.identity.daemon:
+            address = Address.parse(item.value["address"])
+            self._link_to(address, message)
+
     def spread_news(self) -> None:
         """Tell news to a few peers soon."""
         if self._news_due:
@@ -112,13 +121,13 @@
     def _gossip(self, now: float) -> models.Gossip:
         """Return the next round."""
         stamp = self._balancer.timeline.clock.tick(time.time())
-        heard = self._balancer.replica.make_round(now)
+        heard = self._balancer.make_round(now)
         return models.Gossip(heard, stamp.wall_ms, stamp.counter)
 
     def _known(self) -> list[Address]:
         """Return the addresses of other daemons that may be alive."""
         found = set(self._seeds)
-        alive = set(self._balancer.replica.alive(time.monotonic()))
+        alive = set(self._balancer.membership.alive(time.monotonic()))
         for item in self._balancer.replica.items(replica.KIND_MEMBER):
             if item.name in alive:
                 found.add(Address.parse(item.value["address"]))
@@ -139,7 +148,7 @@
         """Send a message to a peer, connecting first where needed."""
         known = self._links.get(address)
         if known is not None and not known.closed:
-            if known.verified or isinstance(message, models.Fetch):
+            if known.verified or not isinstance(message, models.Gossip):
                 known.send(message)
             return
         sock = stream.connect(address)
@@ -186,13 +195,18 @@
             callback = self._fetching.pop(message.digest, None)
             if callback is not None and message.data:
                 callback(message.data)
+        elif isinstance(message, warming.LoanMessage):
+            now = time.monotonic()
+            answer = self._balancer.on_loan_message(message, now)
+            if answer is not None:
+                sender.send(answer)
 
     def _on_gossip(self, message: models.Gossip) -> None:
         """Take a round and pass on what is new."""
         now = time.monotonic()
         stamp = hlc.Stamp(message.wall_ms, message.counter)
         self._balancer.timeline.clock.observe(stamp, time.time())
-        changed = self._balancer.replica.receive(message.round, now)
+        changed = self._balancer.receive_round(message.round, now)
         if changed:
             self.on_changes()
 
--- a/tarragonlift/components/peers/models.py
+++ b/tarragonlift/components/peers/models.py
@@ -8,6 +8,7 @@
 
 from tarragonlift.components.peers import const
 from tarragonlift.core import replica
+from tarragonlift.core import warming
 from tarragonlift import exceptions
 
 
@@ -50,19 +51,26 @@
     data: bytes
 
 
-Message = Hello | Proof | Gossip | Fetch | Document
+Message = Hello | Proof | Gossip | Fetch | Document | warming.LoanMessage
+
+# Messages whose fields go on the wire as they are, in their order.
+PLAIN_TYPES: dict[str, type[Any]] = {
+    const.TYPE_HELLO: Hello,
+    const.TYPE_PROOF: Proof,
+    const.TYPE_FETCH: Fetch,
+    const.TYPE_DOCUMENT: Document,
+    const.TYPE_WANT: warming.Want,
+    const.TYPE_LEND: warming.Lend,
+    const.TYPE_RETURN: warming.Return,
+}
+PLAIN_NAMES = {kind: name for name, kind in PLAIN_TYPES.items()}
 
 
 def encode(message: Message) -> list[Any]:
     """Return the message as plain data for msgpack."""
-    if isinstance(message, Hello):
-        return [const.TYPE_HELLO, message.daemon, message.nonce]
-    if isinstance(message, Proof):
-        return [const.TYPE_PROOF, message.digest]
-    if isinstance(message, Fetch):
-        return [const.TYPE_FETCH, message.digest]
-    if isinstance(message, Document):
-        return [const.TYPE_DOCUMENT, message.digest, message.data]
+    if not isinstance(message, Gossip):
+        name = PLAIN_NAMES[type(message)]
+        return [name, *attrs.astuple(message, recurse=False)]
     items = [
         [one.kind, one.name, one.version, one.rank, one.origin, one.value]
         for one in message.round.items
@@ -81,14 +89,10 @@
     """Return the message, or raise PeerError."""
     try:
         kind, *rest = data
-        if kind == const.TYPE_HELLO:
-            return Hello(*rest)
-        if kind == const.TYPE_PROOF:
-            return Proof(*rest)
-        if kind == const.TYPE_FETCH:
-            return Fetch(*rest)
-        if kind == const.TYPE_DOCUMENT:
-            return Document(*rest)
+        plain = PLAIN_TYPES.get(kind)
+        if plain is not None:
+            message: Message = plain(*rest)
+            return message
         if kind == const.TYPE_ROUND:
             sender, beats, items, wall_ms, counter = rest
             taken = tuple(replica.Item(*item) for item in items)
--- a/tarragonlift/config.py
+++ b/tarragonlift/config.py
@@ -34,6 +34,7 @@
 CONF_RULES = "rules"
 CONF_RUN = "run"
 CONF_SERVICES = "services"
+CONF_SLOTS = "slots"
 CONF_WARM_AFTER = "warm_after"
 
 PathPrefix = vol.All(str, vol.Match(r"^/"))
@@ -81,6 +82,12 @@
             description="most requests at once on one backend server, from "
             "all daemons together",
         ): schema.Positive,
+        vol.Optional(
+            CONF_SLOTS,
+            default=6,
+            description="requests that one backend server runs at once; a "
+            "cold one never gets more",
+        ): schema.Positive,
         vol.Optional(
             CONF_COLD_LIMIT,
             default=1,
@@ -254,6 +261,7 @@
         hosts=frozenset(body[CONF_HOSTS]),
         path_prefix=body[CONF_PATH_PREFIX],
         limit=body[CONF_LIMIT],
+        slots=body[CONF_SLOTS],
         cold_limit=body[CONF_COLD_LIMIT],
         warm_after=body[CONF_WARM_AFTER],
         deadline_s=body[CONF_DEADLINE_MS] / const.MILLISECONDS_PER_SECOND,
--- a/tarragonlift/core/backend.py
+++ b/tarragonlift/core/backend.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import attrs
 
 from tarragonlift.core import const
@@ -18,13 +20,14 @@
 
     ``share`` is how many requests at once this daemon may put on it; the
     shares of all daemons add up to at most the limit of the service. A cold
-    server gets work from one daemon only, the warmer: ``cold_limit`` requests
-    at once at first, growing with each success up to ``limit``.
+    server gets work only from the daemon that has the duty to warm it, before
+    ``warm_until``: ``cold_limit`` requests at once at first, growing with each
+    success up to ``slots``.
     """
 
     instance: models.Instance
     share: int = 1
-    limit: int = 1
+    slots: int = 1
     cold_limit: int = 1
     warm_after: int = 1
     in_flight: int = 0
@@ -34,7 +37,8 @@
     leaving: bool = False
     listed_leaving: bool = False
     data_centre_out: bool = False
-    is_warmer: bool = True
+    warm_until: float = -math.inf
+    answer_seconds: float = 10.0
     successes: int = 0
     set_aside_until: float = 0.0
     reported_load: float = 0.0
@@ -52,11 +56,17 @@
         return str(self.instance.address)
 
     @property
-    def room(self) -> int:
+    def is_usable(self) -> bool:
+        """Return whether the server may get new work at all."""
+        return not (
+            self.leaving or self.listed_leaving or self.data_centre_out
+        )
+
+    def room(self, now: float) -> int:
         """Return how many more requests this daemon may send to it now."""
-        if self.leaving or self.listed_leaving or self.data_centre_out:
+        if not self.is_usable:
             return 0
-        return self._allowed() - self.in_flight
+        return self._allowed(now) - self.in_flight
 
     @property
     def stalled_since(self) -> float | None:
@@ -65,11 +75,11 @@
             return None
         return next(iter(self.sent_at.values()))
 
-    def _allowed(self) -> int:
+    def _allowed(self, now: float) -> int:
         """Return the requests at once that its warmth allows."""
         if self.warmth is const.Warmth.WARM:
             return self.share
-        if not self.is_warmer:
+        if now >= self.warm_until:
             return 0
-        step = (self.limit - self.cold_limit) * self.successes
+        step = (self.slots - self.cold_limit) * self.successes
         return self.cold_limit + step // self.warm_after
--- a/tarragonlift/core/balancer.py
+++ b/tarragonlift/core/balancer.py
@@ -12,11 +12,13 @@
 from tarragonlift.core import call as call_module
 from tarragonlift.core import claims
 from tarragonlift.core import const
+from tarragonlift.core import membership
 from tarragonlift.core import models
 from tarragonlift.core import pool as pool_module
 from tarragonlift.core import replica
 from tarragonlift.core import routing
 from tarragonlift.core import timeline
+from tarragonlift.core import warming
 from tarragonlift import exceptions
 
 FAILURES_COLD = frozenset(
@@ -47,9 +49,14 @@
         self,
         identity: Identity,
         rng: random.Random,
+        epoch: int,
         policy: str = routing.POLICY_LEAST_IN_FLIGHT,
     ) -> None:
-        """Start without configuration: no request is taken yet."""
+        """Start without configuration: no request is taken yet.
+
+        ``epoch`` must grow from one start of the daemon to the next, for
+        example the wall clock in milliseconds.
+        """
         self._identity = identity
         self._rng = rng
         self._policy = policy
@@ -57,9 +64,11 @@
         self._version = 0
         self._pools: dict[str, pool_module.ServicePool] = {}
         self._instances: tuple[models.Instance, ...] = ()
-        self._members: list[str] = []
+        self._members: tuple[list[str], list[str]] = ([], [])
         self._number = 0
-        self.replica = replica.Replica(identity.daemon, rng)
+        self.replica = replica.Replica(identity.daemon, epoch)
+        self.membership = membership.Membership(identity.daemon, epoch)
+        self.duties = warming.WarmingDuties(identity.daemon, self.membership)
         self.claims = claims.ClaimBook(identity.daemon)
         self.timeline = timeline.Timeline(identity.daemon)
 
@@ -130,14 +139,69 @@
         self._instances = tuple(instances)
         self._refresh()
 
-    def update_members(self, now: float) -> bool:
-        """Follow who is alive; return whether that changed."""
-        members = self.replica.alive(now)
-        if members == self._members:
-            return False
-        self._members = members
-        self._refresh()
-        return True
+    def tick(self, now: float) -> list[warming.LoanMessage]:
+        """Do what is due several times a second; return loan messages."""
+        self.membership.tick(now)
+        self._follow_members(now)
+        self.duties.refresh(self._all_backends(), now)
+        messages: list[warming.LoanMessage] = []
+        for pool in self._pools.values():
+            for one in pool.needs_warm(now):
+                want = self.duties.ask(one, now)
+                if want is not None:
+                    messages.append(want)
+        for one in self._all_backends():
+            given_back = self.duties.returns(one, now)
+            if given_back is not None:
+                messages.append(given_back)
+        return messages
+
+    def make_round(self, now: float) -> replica.Round:
+        """Return the next message of gossip."""
+        return replica.Round(
+            self._identity.daemon,
+            self.membership.next_beats(now),
+            self.replica.next_items(),
+        )
+
+    def receive_round(
+        self, message: replica.Round, now: float
+    ) -> list[replica.Item]:
+        """Take a message of gossip; return the items that changed."""
+        self.membership.hear(message.beats, now)
+        return self.replica.merge(message.items)
+
+    def on_loan_message(
+        self, message: warming.LoanMessage, now: float
+    ) -> warming.Lend | None:
+        """Take a message about a warming duty; return the answer."""
+        one = self.find_backend(message.server)
+        if isinstance(message, warming.Want):
+            return self.duties.on_want(message, one, now)
+        if isinstance(message, warming.Lend):
+            self.duties.on_lend(message, one, now)
+        else:
+            self.duties.on_return(message, one)
+        return None
+
+    def loan_target(self, message: warming.LoanMessage) -> str:
+        """Return the daemon that a loan message is for."""
+        one = self.find_backend(message.server)
+        return self.duties.warmer(one) if one is not None else ""
+
+    def learn_rows(self, versions: abc.Mapping[str, int], now: float) -> None:
+        """Take the daemons' rows in the table."""
+        for name in self.membership.learn_rows(versions, now):
+            self.replica.drop(replica.KIND_MEMBER, name)
+            self.replica.drop(replica.KIND_APPLIED, name)
+
+    def find_backend(self, key: str) -> pool_module.Backend | None:
+        """Return the backend server of this name."""
+        for pool in self._pools.values():
+            one = pool.find(key)
+            if one is not None:
+                return one
+        return None
 
     def open_call(
         self,
@@ -285,6 +349,7 @@
             elif item.kind == replica.KIND_BACKEND:
                 self._follow_backend(item)
             elif item.kind == replica.KIND_MEMBER:
+                self._follow_member(item)
                 self._refresh()
         return changed
 
@@ -310,7 +375,7 @@
                 "in_flight": one.in_flight,
                 "started": one.started,
                 "share": one.share,
-                "warmer": one.is_warmer,
+                "warmer": self.duties.warmer(one),
                 "latency_ms": round(one.latency_mean.mean * 1000, 2),
                 "set_aside": one.set_aside_until > now,
             }
@@ -332,25 +397,47 @@
     def _refresh(self) -> None:
         """Bring the pools in line with hosts, members and data centres."""
         out = self.data_centres_out()
-        members = self._member_places()
+        self.duties.set_members(self._member_places())
         for name, pool in self._pools.items():
             pool.set_instances(
                 one for one in self._instances if one.service == name
             )
-            pool.set_members(self._identity.daemon, members)
+            pool.divide_limits(self._identity.daemon, self.membership.known)
             pool.set_data_centres_out(out)
         for item in self.replica.items(replica.KIND_BACKEND):
             self._follow_backend(item)
 
+    def _all_backends(self) -> abc.Iterator[pool_module.Backend]:
+        """Return the backend servers of all services."""
+        for pool in self._pools.values():
+            yield from pool.backends
+
+    def _follow_members(self, now: float) -> None:
+        """Follow who is alive and who counts."""
+        members = (self.membership.alive(now), self.membership.known)
+        if members == self._members:
+            return
+        self._members = members
+        self._refresh()
+
     def _member_places(self) -> dict[str, str]:
         """Return the live daemons with their data centres."""
         places = {self._identity.daemon: self._identity.data_centre}
-        for name in self._members:
+        for name in self._members[0]:
             item = self.replica.get(replica.KIND_MEMBER, name)
             if item is not None:
                 places[name] = str(item.value["data_centre"])
         return places
 
+    def _follow_member(self, item: replica.Item) -> None:
+        """Follow that a daemon came or leaves."""
+        if item.name == self._identity.daemon:
+            return
+        if item.value.get("leaving"):
+            self.membership.leave(item.name)
+        else:
+            self.membership.rejoin(item.name)
+
     def _on_start_id(self, one: pool_module.Backend, start_id: str) -> None:
         """A backend server was started anew, or is seen first."""
         first = not one.start_id
--- /dev/null
+++ b/tarragonlift/core/membership.py
@@ -0,0 +1,158 @@
+"""Which daemons there are, which are alive, and what may rest on that.
+
+Views of different daemons differ for a while. Two rules keep that harmless:
+
+- A duty that one daemon alone may have is used only while more than half of
+  the known daemons were heard lately, and only after this daemon was first
+  in line for a while. Who is cut off or was paused loses it before anybody
+  else takes it over.
+- A daemon counts in the division of limits until it told that it leaves, or
+  until the platform's table confirms that it is gone.
+"""
+
+from __future__ import annotations
+
+from collections import abc
+import math
+
+import attrs
+
+ALIVE_SECONDS = 5.0
+FRESH_SECONDS = 2.0
+SETTLE_SECONDS = 3.0
+PAUSE_SECONDS = 1.0
+GONE_SECONDS = 60.0
+BEATS_MOST = 32
+
+
+@attrs.define
+class _Member:
+    """What is known of the life of one daemon."""
+
+    beat: int = -1
+    heard_at: float = -math.inf
+    row_version: int = -1
+    row_changed_at: float = -math.inf
+
+
+class Membership:
+    """This daemon's view of all daemons."""
+
+    def __init__(self, daemon: str, first_beat: int) -> None:
+        """Know this daemon alone.
+
+        ``first_beat`` must grow from one start of the daemon to the next.
+        """
+        self._daemon = daemon
+        self._beat = first_beat
+        self._members: dict[str, _Member] = {daemon: _Member()}
+        self._left: dict[str, int] = {}
+        self._ticked_at = -math.inf
+        self._steady_since = math.inf
+
+    @property
+    def known(self) -> list[str]:
+        """Return all daemons that count, alive or not, by name."""
+        return sorted(self._members)
+
+    def tick(self, now: float) -> None:
+        """Note that this process runs; a gap means that it was paused."""
+        if now - self._ticked_at > PAUSE_SECONDS:
+            self._steady_since = now
+        self._ticked_at = now
+        own = self._members[self._daemon]
+        own.beat = self._beat
+        own.heard_at = now
+
+    def is_settled(self, now: float) -> bool:
+        """Return whether this process ran for a while without a pause."""
+        if now - self._ticked_at > PAUSE_SECONDS:
+            return False
+        return now - self._steady_since >= SETTLE_SECONDS
+
+    def next_beats(self, now: float) -> dict[str, int]:
+        """Count a heartbeat; return the newest ones for a message."""
+        self._beat += 1
+        self._members[self._daemon].beat = self._beat
+        fresh = sorted(
+            (
+                (member.heard_at, name, member.beat)
+                for name, member in self._members.items()
+                if now - member.heard_at <= ALIVE_SECONDS
+            ),
+            reverse=True,
+        )
+        beats = {name: beat for _, name, beat in fresh[:BEATS_MOST]}
+        beats[self._daemon] = self._beat
+        return beats
+
+    def hear(self, beats: abc.Mapping[str, int], now: float) -> None:
+        """Take the heartbeats of a message."""
+        for name, beat in beats.items():
+            if name == self._daemon or beat <= self._left.get(name, -1):
+                continue
+            member = self._members.setdefault(name, _Member())
+            if beat > member.beat:
+                member.beat = beat
+                member.heard_at = now
+
+    def leave(self, name: str) -> None:
+        """Take that a daemon has told that it leaves."""
+        member = self._members.get(name)
+        if member is None or name == self._daemon:
+            return
+        del self._members[name]
+        self._left[name] = member.beat + int(GONE_SECONDS * 1000)
+
+    def rejoin(self, name: str) -> None:
+        """Take that a daemon that left was started again."""
+        self._left.pop(name, None)
+
+    def learn_rows(
+        self, versions: abc.Mapping[str, int], now: float
+    ) -> list[str]:
+        """Take the daemons' rows in the table; return who is gone.
+
+        A row that changed shows life. A daemon that was silent for long and
+        whose row is missing or unchanged for as long is gone.
+        """
+        for name, version in versions.items():
+            member = self._members.setdefault(name, _Member())
+            if version != member.row_version:
+                member.row_version = version
+                member.row_changed_at = now
+        return self._forget_gone(now)
+
+    def alive(self, now: float) -> list[str]:
+        """Return the daemons heard of lately, by name."""
+        return sorted(
+            name
+            for name, member in self._members.items()
+            if name == self._daemon or now - member.heard_at <= ALIVE_SECONDS
+        )
+
+    def has_majority(self, now: float) -> bool:
+        """Return whether more than half of the daemons were heard lately."""
+        fresh = sum(
+            1
+            for name, member in self._members.items()
+            if name == self._daemon or now - member.heard_at <= FRESH_SECONDS
+        )
+        return 2 * fresh > len(self._members)
+
+    def is_isolated(self, now: float) -> bool:
+        """Return whether no other daemon was heard lately."""
+        return len(self._members) > 1 and self.alive(now) == [self._daemon]
+
+    def _forget_gone(self, now: float) -> list[str]:
+        """Drop the daemons that are gone; return their names."""
+        gone = [
+            name
+            for name, member in self._members.items()
+            if name != self._daemon
+            and now - member.heard_at > GONE_SECONDS
+            and now - member.row_changed_at > GONE_SECONDS
+        ]
+        for name in gone:
+            del self._members[name]
+        return gone
--- a/tarragonlift/core/models.py
+++ b/tarragonlift/core/models.py
@@ -49,6 +49,7 @@
     hosts: frozenset[str]
     path_prefix: str
     limit: int
+    slots: int
     cold_limit: int
     warm_after: int
     deadline_s: float
--- a/tarragonlift/core/pool.py
+++ b/tarragonlift/core/pool.py
@@ -92,23 +92,32 @@
         self._own = [b for b in everything if b.instance.data_centre == own]
         self._other = [b for b in everything if b.instance.data_centre != own]
 
-    def set_members(self, daemon: str, members: abc.Mapping[str, str]) -> None:
-        """Divide limits and warming duties between the live daemons.
-
-        ``members`` are their names with their data centres.
-        """
+    def divide_limits(self, daemon: str, known: abc.Iterable[str]) -> None:
+        """Divide the limits of all servers between the known daemons."""
         service = self._service
+        known = list(known)
         for one in self._backends.values():
-            ranked = rendezvous.rank(one.key, members)
-            users = min(len(ranked), service.limit) or 1
-            is_user = daemon in ranked[:users]
-            one.share = service.limit // users if is_user else 0
-            near = one.instance.data_centre
-            ranked.sort(key=lambda member: members[member] != near)
-            one.is_warmer = ranked[0] == daemon
-            one.limit = service.limit
-            one.cold_limit = min(service.cold_limit, service.limit)
+            if len(known) <= service.limit:
+                one.share = service.limit // max(1, len(known))
+            else:
+                users = rendezvous.rank(one.key, known)[: service.limit]
+                one.share = 1 if daemon in users else 0
+            one.slots = min(service.slots, service.limit)
+            one.cold_limit = min(service.cold_limit, one.slots)
             one.warm_after = service.warm_after
+            one.answer_seconds = service.deadline_s
+
+    def needs_warm(self, now: float) -> list[Backend]:
+        """Return cold servers that waiting requests could use."""
+        if not len(self.queue):
+            return []
+        return [
+            one
+            for one in self._backends.values()
+            if one.warmth is not const.Warmth.WARM
+            and one.is_usable
+            and one.warm_until <= now
+        ]
 
     def set_data_centres_out(self, out: abc.Container[str]) -> None:
         """Send no new work to these data centres."""
@@ -184,7 +193,7 @@
         candidates = [
             one
             for one in backends
-            if one.room > 0 and (not exclude or one.key not in exclude)
+            if one.room(now) > 0 and (not exclude or one.key not in exclude)
         ]
         if not candidates:
             return None
--- a/tarragonlift/core/replica.py
+++ b/tarragonlift/core/replica.py
@@ -10,8 +10,6 @@
 from __future__ import annotations
 
 from collections import abc
-import math
-import random
 from typing import Any
 
 import attrs
@@ -25,9 +23,6 @@
 
 HOT_ROUNDS = 6
 SLICE_ITEMS = 8
-BEATS_MOST = 32
-ALIVE_SECONDS = 5.0
-FORGET_SECONDS = 60.0
 
 
 @attrs.frozen
@@ -61,25 +56,19 @@
     items: tuple[Item, ...]
 
 
-@attrs.define
-class _Member:
-    """What is known of the life of one daemon."""
-
-    beat: int = -1
-    seen_at: float = -math.inf
-
-
 class Replica:
     """This daemon's copy of the state that all daemons share."""
 
-    def __init__(self, daemon: str, rng: random.Random) -> None:
-        """Start with nothing but this daemon."""
+    def __init__(self, daemon: str, epoch: int) -> None:
+        """Start with nothing.
+
+        ``epoch`` must grow from one start of the daemon to the next; the
+        versions of what the daemon tells of itself begin there.
+        """
         self._daemon = daemon
-        self._rng = rng
+        self._epoch = epoch
         self._items: dict[tuple[str, str], Item] = {}
         self._hot: dict[tuple[str, str], int] = {}
-        self._members: dict[str, _Member] = {}
-        self._beat = 0
         self._slice_at = 0
         self._changed: list[Item] = []
 
@@ -102,6 +91,8 @@
         """Change an item in the name of this daemon."""
         known = self._items.get((kind, name))
         version = known.version + 1 if known else 1
+        if name == self._daemon:
+            version = max(version, self._epoch)
         item = Item(kind, name, version, rank, self._daemon, value)
         self.merge([item])
         return item
@@ -129,78 +120,16 @@
         """Return whether items wait to be passed on at once."""
         return bool(self._hot)
 
-    def make_round(self, now: float) -> Round:
-        """Return the next message: heartbeats, news and a slice."""
-        self._beat += 1
-        self._see(self._daemon, self._beat, now)
+    def next_items(self) -> tuple[Item, ...]:
+        """Return the items for the next message: news and a slice."""
         items = [self._items[key] for key in self._take_hot()]
         items.extend(self._next_slice())
-        return Round(self._daemon, self._beats(now), tuple(items))
-
-    def receive(self, message: Round, now: float) -> list[Item]:
-        """Take a message; return the items that changed."""
-        for daemon, beat in message.beats.items():
-            if daemon != self._daemon:
-                self._see(daemon, beat, now)
-        return self.merge(message.items)
-
-    def alive(self, now: float) -> list[str]:
-        """Return the daemons heard of lately and not leaving, by name."""
-        names = []
-        for daemon, member in self._members.items():
-            if now - member.seen_at > ALIVE_SECONDS:
-                continue
-            item = self._items.get((KIND_MEMBER, daemon))
-            if item is not None and item.value.get("leaving"):
-                continue
-            names.append(daemon)
-        if self._daemon not in names:
-            names.append(self._daemon)
-        return sorted(names)
-
-    def last_heard(self) -> float:
-        """Return when another daemon was last heard of."""
-        others = (
-            member.seen_at
-            for daemon, member in self._members.items()
-            if daemon != self._daemon
-        )
-        return max(others, default=-math.inf)
-
-    def forget_dead(self, now: float) -> list[str]:
-        """Drop daemons that were not heard of for long; return them."""
-        dead = [
-            daemon
-            for daemon, member in self._members.items()
-            if now - member.seen_at > FORGET_SECONDS and daemon != self._daemon
-        ]
-        for daemon in dead:
-            del self._members[daemon]
-            for kind in (KIND_MEMBER, KIND_APPLIED):
-                self._items.pop((kind, daemon), None)
-                self._hot.pop((kind, daemon), None)
-        return dead
-
-    def _see(self, daemon: str, beat: int, now: float) -> None:
-        """Note a heartbeat."""
-        member = self._members.setdefault(daemon, _Member())
-        if beat > member.beat:
-            member.beat = beat
-            member.seen_at = now
-
-    def _beats(self, now: float) -> dict[str, int]:
-        """Return the newest heartbeats, and this daemon's own."""
-        fresh = sorted(
-            (
-                (member.seen_at, daemon, member.beat)
-                for daemon, member in self._members.items()
-                if now - member.seen_at <= ALIVE_SECONDS
-            ),
-            reverse=True,
-        )
-        beats = {name: beat for _, name, beat in fresh[:BEATS_MOST]}
-        beats[self._daemon] = self._beat
-        return beats
+        return tuple(items)
+
+    def drop(self, kind: str, name: str) -> None:
+        """Forget an item here; others may still tell of it."""
+        self._items.pop((kind, name), None)
+        self._hot.pop((kind, name), None)
 
     def _take_hot(self) -> list[tuple[str, str]]:
         """Return the news; each is told for a few rounds."""
--- /dev/null
+++ b/tarragonlift/core/warming.py
@@ -0,0 +1,182 @@
+"""Who may send to a cold backend server: one daemon at a time.
+
+The daemon that comes first for a server (rendezvous hashing, the server's own
+data centre first) has the duty to warm it. A daemon whose requests wait may
+borrow the duty for a moment. Duties and loans are leases on the holder's own
+monotonic clock, checked each time a server is chosen, so that a daemon that
+was paused sends nothing on a lease that lapsed.
+"""
+
+from __future__ import annotations
+
+from collections import abc
+import math
+
+import attrs
+
+from tarragonlift.core import backend as backend_module
+from tarragonlift.core import const
+from tarragonlift.core import membership as membership_module
+from tarragonlift.core import rendezvous
+
+DUTY_SECONDS = 0.5
+LOAN_SECONDS = 1.0
+ASK_SECONDS = 0.2
+
+Backend = backend_module.Backend
+
+
+@attrs.frozen
+class Want:
+    """Asks the warmer of a server to lend the duty."""
+
+    server: str
+    borrower: str
+
+
+@attrs.frozen
+class Lend:
+    """Lends the duty, counted from when the borrower asked."""
+
+    server: str
+    start_id: str
+    successes: int
+
+
+@attrs.frozen
+class Return:
+    """Gives a borrowed duty back."""
+
+    server: str
+    borrower: str
+    successes: int
+
+
+LoanMessage = Want | Lend | Return
+
+
+@attrs.define
+class _Loan:
+    """A duty that was lent."""
+
+    borrower: str
+    until: float
+
+
+class WarmingDuties:
+    """Decides for one daemon which cold servers it may send to."""
+
+    def __init__(
+        self, daemon: str, membership: membership_module.Membership
+    ) -> None:
+        """Hold no duty yet."""
+        self._daemon = daemon
+        self._membership = membership
+        self._places: abc.Mapping[str, str] = {}
+        self._first: dict[str, str] = {}
+        self._first_since: dict[str, float] = {}
+        self._lent: dict[str, _Loan] = {}
+        self._asked_at: dict[str, float] = {}
+        self._borrowed: dict[str, float] = {}
+
+    def set_members(self, places: abc.Mapping[str, str]) -> None:
+        """Follow the live daemons, by name with their data centres."""
+        if places != self._places:
+            self._places = dict(places)
+            self._first.clear()
+
+    def warmer(self, one: Backend) -> str:
+        """Return the daemon that comes first for a server."""
+        first = self._first.get(one.key)
+        if first is None:
+            first = self._rank(one)
+            self._first[one.key] = first
+        return first
+
+    def refresh(self, backends: abc.Iterable[Backend], now: float) -> None:
+        """Renew the leases of the duties that this daemon has."""
+        steady = self._membership.is_settled(
+            now
+        ) and self._membership.has_majority(now)
+        for one in backends:
+            self._refresh_one(one, steady, now)
+
+    def ask(self, one: Backend, now: float) -> Want | None:
+        """Return a message that asks for a duty, not too often."""
+        if self.warmer(one) == self._daemon or one.warm_until > now:
+            return None
+        if now - self._asked_at.get(one.key, -math.inf) < ASK_SECONDS:
+            return None
+        self._asked_at[one.key] = now
+        return Want(one.key, self._daemon)
+
+    def on_want(
+        self, message: Want, one: Backend | None, now: float
+    ) -> Lend | None:
+        """Lend a duty that this daemon has and does not use."""
+        if one is None or one.warmth is const.Warmth.WARM:
+            return None
+        if one.warm_until <= now or one.in_flight > 0:
+            return None
+        if self.warmer(one) != self._daemon:
+            return None
+        one.warm_until = -math.inf
+        until = now + LOAN_SECONDS + one.answer_seconds
+        self._lent[one.key] = _Loan(message.borrower, until)
+        return Lend(one.key, one.start_id, one.successes)
+
+    def on_lend(self, message: Lend, one: Backend | None, now: float) -> bool:
+        """Take a duty that was lent; it counts from when it was asked."""
+        asked_at = self._asked_at.get(message.server, -math.inf)
+        until = asked_at + LOAN_SECONDS
+        if one is None or until <= now:
+            return False
+        self._borrowed[one.key] = until
+        one.warm_until = until
+        one.successes = message.successes
+        return True
+
+    def returns(self, one: Backend, now: float) -> Return | None:
+        """Return the message that gives back a loan which is used up."""
+        until = self._borrowed.get(one.key)
+        if until is None or now < until or one.in_flight > 0:
+            return None
+        del self._borrowed[one.key]
+        return Return(one.key, self._daemon, one.successes)
+
+    def on_return(self, message: Return, one: Backend | None) -> None:
+        """Take a duty back."""
+        loan = self._lent.get(message.server)
+        if loan is None or loan.borrower != message.borrower:
+            return
+        del self._lent[message.server]
+        if one is not None and one.warmth is not const.Warmth.WARM:
+            one.successes = max(one.successes, message.successes)
+
+    def _refresh_one(self, one: Backend, steady: bool, now: float) -> None:
+        """Renew the lease of one duty, if this daemon has it."""
+        if self.warmer(one) != self._daemon:
+            self._first_since.pop(one.key, None)
+            if one.key not in self._borrowed:
+                one.warm_until = -math.inf
+            return
+        since = self._first_since.setdefault(one.key, now)
+        settled = now - since >= membership_module.SETTLE_SECONDS
+        loan = self._lent.get(one.key)
+        if loan is not None and loan.until <= now:
+            del self._lent[one.key]
+            loan = None
+        if steady and settled and loan is None:
+            one.warm_until = now + DUTY_SECONDS
+        else:
+            one.warm_until = -math.inf
+
+    def _rank(self, one: Backend) -> str:
+        """Return the first of the members for a server."""
+        near = one.instance.data_centre
+        members = [
+            name for name, place in self._places.items() if place == near
+        ] or list(self._places)
+        if not members:
+            return self._daemon
+        return rendezvous.rank(one.key, members)[0]
--- a/tarragonlift_lab/demo.py
+++ b/tarragonlift_lab/demo.py
@@ -35,8 +35,9 @@
     "ordering": {
       "path_prefix": "/",
       "limit": 12,
+      "slots": 6,
       "cold_limit": 2,
-      "warm_after": 40,
+      "warm_after": 60,
       "caller_header": "Caller",
       // Orders run once; everything else may be sent again.
       "rules": [
@@ -47,7 +48,7 @@
       "path_prefix": "/photos",
       "limit": 12,
       "cold_limit": 2,
-      "warm_after": 5,
+      "warm_after": 60,
       "deadline_ms": 30000
     }
   }
--- a/tests/common.py
+++ b/tests/common.py
@@ -18,6 +18,7 @@
     hosts=frozenset(),
     path_prefix="/",
     limit=12,
+    slots=6,
     cold_limit=2,
     warm_after=4,
     deadline_s=10.0,
@@ -59,7 +60,7 @@
     )
     pool = pool_module.ServicePool(service, "plovdiv", policy)
     pool.set_instances(make_instances(count))
-    pool.set_members("entry-0", {"entry-0": "plovdiv"})
+    pool.divide_limits("entry-0", ["entry-0"])
     for one in pool.backends:
         one.warmth = const.Warmth.WARM
     return pool
@@ -72,7 +73,7 @@
     identity = balancer_module.Identity(
         name, data_centre, f"{name}:1", f"{name}:2"
     )
-    balancer = balancer_module.Balancer(identity, random.Random(seed))
+    balancer = balancer_module.Balancer(identity, random.Random(seed), 1)
     balancer.adopt(1, CONFIGURATION, 0.0)
     balancer.set_instances(make_instances(3))
     return balancer
