Send each answer in one write and stay in the poller between events

Cause: every wake-up of a data socket cost a circuits event, an answer was sent as two writes, and a new backend server waited 3 s for its warmer. Change: the poller serves sockets until circuits itself has work; writes of one socket event are joined; a duty counts from when the members changed, not from when the server was first seen.

--- a/tarragonlift/components/data_path/caller.py
+++ b/tarragonlift/components/data_path/caller.py
@@ -341,7 +341,11 @@
                 self._acceptor.on_closed(self)
             return
         self._refusal = self._refusal or _bad_request()
-        self._sock.shutdown(socket.SHUT_WR) if not self._pending else None
+        self._flush()
+        if self._closed:
+            return
+        if not self._pending:
+            self._sock.shutdown(socket.SHUT_WR)
         self.active_at = time.monotonic()
         self._closing = bool(self._pending)
         self._poller.timers.call_at(
--- a/tarragonlift/components/data_path/poller.py
+++ b/tarragonlift/components/data_path/poller.py
@@ -26,6 +26,9 @@
     def on_ready(self, mask: int) -> None:
         """Read, write or close as the mask of epoll says."""
 
+    def flush(self) -> None:
+        """Send what was written meanwhile."""
+
 
 class DataPoller(pollers.EPoll):
     """An epoll poller that serves the data path inside one event."""
@@ -36,6 +39,7 @@
         self._sockets: dict[int, SocketHandler] = {}
         self._on_error = on_error
         self._deferred: list[Callable[[], None]] = []
+        self._dirty: list[SocketHandler] = []
         self._timers = timers.Timers()
 
     @property
@@ -61,29 +65,30 @@
         """Call the function after the sockets that are ready now."""
         self._deferred.append(function)
 
+    def flush_soon(self, handler: SocketHandler) -> None:
+        """Flush the handler once the one that is served now returns."""
+        self._dirty.append(handler)
+
     def _generate_events(self, event: Any) -> None:
         """Wait for sockets and serve them until ``circuits`` has work."""
         now = time.monotonic()
         until = now + const.SERVE_SECONDS_MOST
-        wait = self._wait_seconds(event.time_left, now)
+        if 0 <= event.time_left < const.SERVE_SECONDS_MOST:
+            until = now + event.time_left
         while True:
-            ready = self._poller.poll(wait)
-            self._serve(ready)
+            self._serve(self._poller.poll(self._wait_seconds(until, now)))
             now = time.monotonic()
             self._timers.run(now)
             self._run_deferred()
-            if not ready or now >= until or len(self.root):
+            self._flush()
+            if now >= until or len(self.root):
                 return
-            wait = 0.0
 
-    def _wait_seconds(self, time_left: float, now: float) -> float:
+    def _wait_seconds(self, until: float, now: float) -> float:
         """Return how long the poll may wait."""
-        if self._deferred:
+        if self._deferred or self._dirty:
             return 0.0
-        most = const.POLL_SECONDS_MOST
-        if 0 <= time_left < most:
-            most = time_left
-        return self._timers.time_left(now, most)
+        return self._timers.time_left(now, max(0.0, until - now))
 
     def _serve(self, ready: list[tuple[int, int]]) -> None:
         """Call the handler of each socket."""
@@ -96,6 +101,15 @@
                 handler.on_ready(mask)
             except Exception as error:
                 self._on_error(error)
+            if self._dirty:
+                self._flush()
+
+    def _flush(self) -> None:
+        """Send what was written."""
+        while self._dirty:
+            dirty, self._dirty = self._dirty, []
+            for handler in dirty:
+                handler.flush()
 
     def _run_deferred(self) -> None:
         """Call what was put off until the sockets were served."""
--- a/tarragonlift/components/data_path/stream.py
+++ b/tarragonlift/components/data_path/stream.py
@@ -34,6 +34,7 @@
         self._closed = False
         self._closing = False
         self._reading = True
+        self._dirty = False
         self._pending: collections.deque[bytes] = collections.deque()
         self._pending_bytes = 0
         self._mask = const.MASK_WRITE if connecting else const.MASK_READ
@@ -56,21 +57,22 @@
         return self._pending_bytes > const.BUFFER_HIGH_BYTES
 
     def write(self, data: bytes) -> None:
-        """Send the data, or keep what the socket does not take."""
-        if self._closed:
-            return
-        if self._pending or self._connecting:
-            self._keep(data)
+        """Send the data soon, together with what else is written now."""
+        if self._closed or not data:
             return
-        try:
-            sent = self._sock.send(data)
-        except BlockingIOError:
-            sent = 0
-        except OSError:
-            self._fail()
+        self._pending.append(data)
+        self._pending_bytes += len(data)
+        if not self._dirty and not self._connecting:
+            self._dirty = True
+            self._poller.flush_soon(self)
+
+    def flush(self) -> None:
+        """Send what was written since the poller served this socket."""
+        self._dirty = False
+        if self._closed or self._connecting or self._mask & const.MASK_WRITE:
             return
-        if sent < len(data):
-            self._keep(data[sent:])
+        self._flush()
+        self._update_mask()
 
     def pause_reading(self) -> None:
         """Take no data until ``resume_reading``."""
@@ -157,7 +159,7 @@
         """Write what waits."""
         was_congested = self._pending_bytes > const.BUFFER_LOW_BYTES
         while self._pending:
-            data = self._pending.popleft()
+            data = self._take_pending()
             try:
                 sent = self._sock.send(data)
             except BlockingIOError:
@@ -178,13 +180,18 @@
         if was_congested and self._pending_bytes <= const.BUFFER_LOW_BYTES:
             self.on_writable()
 
-    def _keep(self, data: bytes) -> None:
-        """Keep data until the socket takes it."""
-        if not data:
-            return
-        self._pending.append(data)
-        self._pending_bytes += len(data)
-        self._update_mask()
+    def _take_pending(self) -> bytes:
+        """Return what waits, short pieces joined."""
+        data = self._pending.popleft()
+        if not self._pending or len(data) >= const.JOIN_BYTES_MOST:
+            return data
+        pieces = [data]
+        size = len(data)
+        while self._pending and size < const.JOIN_BYTES_MOST:
+            piece = self._pending.popleft()
+            pieces.append(piece)
+            size += len(piece)
+        return b"".join(pieces)
 
     def _finish_connect(self) -> None:
         """See whether the connection was established."""
--- a/tarragonlift/core/balancer.py
+++ b/tarragonlift/core/balancer.py
@@ -397,7 +397,9 @@
     def _refresh(self) -> None:
         """Bring the pools in line with hosts, members and data centres."""
         out = self.data_centres_out()
-        self.duties.set_members(self._member_places())
+        self.duties.set_members(
+            self._member_places(), self.membership.ticked_at
+        )
         for name, pool in self._pools.items():
             pool.set_instances(
                 one for one in self._instances if one.service == name
--- a/tarragonlift/core/membership.py
+++ b/tarragonlift/core/membership.py
@@ -55,6 +55,11 @@
         """Return all daemons that count, alive or not, by name."""
         return sorted(self._members)
 
+    @property
+    def ticked_at(self) -> float:
+        """Return when this process last looked at the clock."""
+        return self._ticked_at
+
     def tick(self, now: float) -> None:
         """Note that this process runs; a gap means that it was paused."""
         if now - self._ticked_at > PAUSE_SECONDS:
--- a/tarragonlift/core/warming.py
+++ b/tarragonlift/core/warming.py
@@ -73,16 +73,18 @@
         self._daemon = daemon
         self._membership = membership
         self._places: abc.Mapping[str, str] = {}
+        self._places_since = math.inf
         self._first: dict[str, str] = {}
         self._first_since: dict[str, float] = {}
         self._lent: dict[str, _Loan] = {}
         self._asked_at: dict[str, float] = {}
         self._borrowed: dict[str, float] = {}
 
-    def set_members(self, places: abc.Mapping[str, str]) -> None:
+    def set_members(self, places: abc.Mapping[str, str], now: float) -> None:
         """Follow the live daemons, by name with their data centres."""
         if places != self._places:
             self._places = dict(places)
+            self._places_since = now
             self._first.clear()
 
     def warmer(self, one: Backend) -> str:
@@ -156,11 +158,15 @@
     def _refresh_one(self, one: Backend, steady: bool, now: float) -> None:
         """Renew the lease of one duty, if this daemon has it."""
         if self.warmer(one) != self._daemon:
-            self._first_since.pop(one.key, None)
+            self._first_since[one.key] = math.inf
             if one.key not in self._borrowed:
                 one.warm_until = -math.inf
             return
-        since = self._first_since.setdefault(one.key, now)
+        # A server that is new has the first in line that it would have had
+        # since the members changed last.
+        since = self._first_since.setdefault(one.key, self._places_since)
+        if since == math.inf:
+            since = self._first_since[one.key] = now
         settled = now - since >= membership_module.SETTLE_SECONDS
         loan = self._lent.get(one.key)
         if loan is not None and loan.until <= now:
--- a/tarragonlift_lab/demo.py
+++ b/tarragonlift_lab/demo.py
@@ -310,6 +310,7 @@
         ),
         "collapses": sum(ledger["collapses"] for ledger in ledgers),
         "latency_ms": _latencies(result),
+        "lookup_p99_ms_by_second": _by_second(result),
         "added_latency_ms": {
             name: round(
                 result.quantile_ms("lookup", percent)
@@ -336,6 +337,15 @@
     return Report(figures, broken, result.errors)
 
 
+def _by_second(result: load_module.Result) -> list[float]:
+    """Return the 99th percentile of lookups, second by second."""
+    found = []
+    for second in sorted(result.seconds):
+        values = sorted(result.seconds[second])
+        found.append(round(values[int(len(values) * 0.99)] * 1000, 1))
+    return found
+
+
 def _latencies(result: load_module.Result) -> dict[str, dict[str, float]]:
     """Return quantiles for each kind of call."""
     return {
