Prove HTTP/1.1 on real sockets and mend what it showed

Cause: a bad request pipelined behind a good one was never answered, and an upgrade reached the backend server first. Change: the answer ahead is finished, then the bad request is refused; upgrades are refused by their head.

--- a/tarragonlift/components/data_path/caller.py
+++ b/tarragonlift/components/data_path/caller.py
@@ -137,6 +137,10 @@
         self.active_at = time.monotonic()
         if current is None or self._closed:
             return
+        if self._refusal is not None and not self._reading_body:
+            self._queue.clear()
+            self._refuse(self._refusal)
+            return
         unread = self._reading_body
         if unread or self._close_after or not keep_alive:
             self._linger_close(unread)
@@ -298,6 +302,8 @@
         head.keep_alive = self._parser.should_keep_alive()
         if self._parser.get_http_version() != "1.1":
             self._refusal = exceptions.VersionNotSupported(_NOT_RUN)
+        elif self._parser.should_upgrade():
+            self._refusal = _bad_request()
         elif sum(1 for name, _ in self._headers if _is_host(name)) != 1:
             self._refusal = _bad_request()
         length = fields.get(b"content-length")
@@ -327,11 +333,14 @@
         """Answer what can't be read, and close."""
         self._refusal = refusal
         listener = self._listener
-        if listener is not None:
+        if listener is None:
+            self._acceptor.refuse(self, refusal)
+            self._linger_close(unread=True)
+        elif self._reading_body:
             listener.on_body_refused(refusal)
-            return
-        self._acceptor.refuse(self, refusal)
-        self._linger_close(unread=True)
+        else:
+            # The request ahead is whole: its answer comes first.
+            self.pause_reading()
 
     def _linger_close(self, unread: bool) -> None:
         """Close such that the caller can still read the answer."""
--- a/tests/components/test_whole_path.py
+++ b/tests/components/test_whole_path.py
@@ -3,36 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-from collections import abc
-import pathlib
-
-import pytest
 
 from tarragonlift_lab import demo
 from tarragonlift_lab import http
-from tarragonlift_lab import processes
-
-
-@pytest.fixture(scope="module")
-def site(
-    tmp_path_factory: pytest.TempPathFactory,
-) -> abc.Iterator[demo.Site]:
-    """Start a platform, backend servers and daemons."""
-    folder: pathlib.Path = tmp_path_factory.mktemp("site")
-    started = processes.Processes(folder)
-    try:
-        found = demo.start_site(started, seed=1)
-        asyncio.run(_prepare(found))
-        yield found
-    finally:
-        started.end_all()
-
-
-async def _prepare(site: demo.Site) -> None:
-    """Publish hosts and configuration."""
-    await demo.publish_hosts(site)
-    await demo.push_configuration(site)
-    await demo.wait_ready(site)
 
 
 def ask(site: demo.Site, data: bytes, number: int = 0) -> http.Answer:
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,32 @@
+"""Fixtures."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import abc
+
+import pytest
+
+from tarragonlift_lab import demo
+from tarragonlift_lab import processes
+
+
+@pytest.fixture(scope="session")
+def site(
+    tmp_path_factory: pytest.TempPathFactory,
+) -> abc.Iterator[demo.Site]:
+    """Start a platform, backend servers and daemons."""
+    started = processes.Processes(tmp_path_factory.mktemp("site"))
+    try:
+        found = demo.start_site(started, seed=1)
+        asyncio.run(_prepare(found))
+        yield found
+    finally:
+        started.end_all()
+
+
+async def _prepare(site: demo.Site) -> None:
+    """Publish hosts and configuration."""
+    await demo.publish_hosts(site)
+    await demo.push_configuration(site)
+    await demo.wait_ready(site)
