Measure on leased seats, contain requests that crash servers

Cause: nothing bounded the cost of measuring, and a request that crashes its server was retried on the next one without memory. Change: probes only on numbered seats in the table, with leases on the holder's own clock; suspected requests are counted per daemon over gossip, cleared by a success, held back at the limit, released by an operator. A lab command runs routing policies against one another.

--- a/tarragonlift/cli/app.py
+++ b/tarragonlift/cli/app.py
@@ -28,6 +28,10 @@
 )
 config_app = typer.Typer(no_args_is_help=True, help="The configuration.")
 data_centre_app = typer.Typer(no_args_is_help=True, help="Data centres.")
+held_app = typer.Typer(
+    no_args_is_help=True, help="Requests held back after crashes."
+)
+app.add_typer(held_app, name="held")
 app.add_typer(config_app, name="config")
 app.add_typer(data_centre_app, name="data-centre")
 
@@ -197,6 +201,34 @@
     output.show(document, json_output, "\n".join(lines))
 
 
+@held_app.command("list")
+def held_list(
+    api: ApiOption = DEFAULT_API,
+    token: TokenOption = "",
+    json_output: JsonOption = False,
+) -> None:
+    """Show requests that are suspected of crashing backend servers."""
+    document = client_module.ApiClient(api, token).get("/v1/held")
+    lines = [
+        f"{one['fingerprint']}  {one['crashes']} crashes  {one['route']}"
+        for one in document["held"]
+    ]
+    output.show(document, json_output, "\n".join(lines) or "none")
+
+
+@held_app.command("release")
+def held_release(
+    fingerprint: str,
+    api: ApiOption = DEFAULT_API,
+    token: TokenOption = "",
+    json_output: JsonOption = False,
+) -> None:
+    """Let requests with this fingerprint run again."""
+    daemon = client_module.ApiClient(api, token)
+    document = daemon.delete(f"/v1/held/{fingerprint}")
+    output.show(document, json_output, f"released {fingerprint}")
+
+
 @app.command()
 def hosts(
     api: ApiOption = DEFAULT_API,
--- a/tarragonlift/cli/client.py
+++ b/tarragonlift/cli/client.py
@@ -56,6 +56,10 @@
         """Add something under a path."""
         return self._request("POST", path, body)
 
+    def delete(self, path: str) -> Any:
+        """Remove what is under a path."""
+        return self._request("DELETE", path, None)
+
     def wait(self, operation: dict[str, Any]) -> dict[str, Any]:
         """Return the result of an operation, or raise ApiError."""
         until = time.monotonic() + OPERATION_SECONDS
--- a/tarragonlift/components/admin/api.py
+++ b/tarragonlift/components/admin/api.py
@@ -56,6 +56,8 @@
         ("GET", "/data-centres", READ, handlers.get_data_centres),
         ("PUT", "/data-centres/{name}", OPERATE, handlers.set_data_centre),
         ("GET", "/hosts", READ, handlers.get_hosts),
+        ("GET", "/held", READ, handlers.get_held),
+        ("DELETE", "/held/{fingerprint}", OPERATE, handlers.release_held),
         ("GET", "/timeline", READ, handlers.get_timeline),
     )
     return tuple(_route(*one) for one in table)
--- a/tarragonlift/components/admin/handlers.py
+++ b/tarragonlift/components/admin/handlers.py
@@ -187,6 +187,31 @@
         }
         return Answer(const.STATUS_OK, document)
 
+    def get_held(self, request: Request) -> Answer:
+        """Return the requests that are suspected of crashing servers."""
+        balancer = self._context.balancer
+        document = [
+            {
+                "fingerprint": one.fingerprint,
+                "route": one.route,
+                "crashes": one.crashes,
+            }
+            for one in balancer.suspects.listed()
+        ]
+        return Answer(const.STATUS_OK, {"held": document})
+
+    def release_held(self, request: Request) -> Answer:
+        """Let a request that was held back run again."""
+        fingerprint = request.arguments["fingerprint"]
+        balancer = self._context.balancer
+        if not balancer.suspects.clear(fingerprint):
+            raise exceptions.UnknownName("no request has this fingerprint")
+        detail = f"released by {request.operator.name}"
+        kind = core_const.EVENT_REQUEST_HELD
+        balancer.note(kind, fingerprint, detail, time.time())
+        self._context.mesh.spread_news()
+        return Answer(const.STATUS_OK, {"released": fingerprint})
+
     def get_timeline(self, request: Request) -> Answer:
         """Return this daemon's events."""
         query = request.query
--- a/tarragonlift/components/daemon/__init__.py
+++ b/tarragonlift/components/daemon/__init__.py
@@ -23,6 +23,7 @@
 from tarragonlift.components.data_path import poller as poller_module
 from tarragonlift.components import hosts
 from tarragonlift.components import logs
+from tarragonlift.components import measuring
 from tarragonlift.components import metrics
 from tarragonlift.components import peers
 from tarragonlift.components import platform
@@ -99,6 +100,9 @@
             self._mesh,
         )
         self._mesh.on_changes = self._follow
+        self._prober = measuring.create_prober(
+            self._poller, self._balancer, table, self._data_path, self._metrics
+        )
         self._admin = admin.create_admin(
             self,
             self._settings.admin,
@@ -126,6 +130,7 @@
         self._hosts.start()
         self._configuration.start()
         self._data_centres.start()
+        self._prober.start()
         address = self._data_path.listen(self._settings.listen)
         now = time.monotonic()
         self._tick(now)
--- a/tarragonlift/components/data_path/server.py
+++ b/tarragonlift/components/data_path/server.py
@@ -167,6 +167,12 @@
         """Forget a caller's connection."""
         self._callers.discard(connection)
 
+    def connect_to(
+        self, address: models.Address
+    ) -> client.ClientConnection | None:
+        """Return a connection to a backend server, for a probe."""
+        return self._connections.take(address)
+
     def take_connection(
         self, attempt: actions.Attempt
     ) -> client.ClientConnection | None:
--- a/tarragonlift/config.py
+++ b/tarragonlift/config.py
@@ -28,6 +28,7 @@
 CONF_LIMIT = "limit"
 CONF_METHODS = "methods"
 CONF_PATH_PREFIX = "path_prefix"
+CONF_PROBES = "probes_per_second"
 CONF_QUEUE_LENGTH = "queue_length"
 CONF_REPLAY_BYTES = "replay_bytes"
 CONF_RETRY_SHARE = "retry_share"
@@ -140,6 +141,12 @@
             default=3,
             description="crashes in all after which a request is held back",
         ): schema.Positive,
+        vol.Optional(
+            CONF_PROBES,
+            default=1,
+            description="most probes of the service's backend servers in a "
+            "second, from all daemons together; 0: none",
+        ): schema.NotNegative,
         vol.Optional(
             CONF_RULES,
             default=list,
@@ -272,6 +279,7 @@
         queue_length=body[CONF_QUEUE_LENGTH],
         caller_header=body[CONF_CALLER_HEADER],
         crash_limit=body[CONF_CRASH_LIMIT],
+        probes=body[CONF_PROBES],
         rules=tuple(_rule(one) for one in body[CONF_RULES]),
     )
 
--- a/tarragonlift/core/balancer.py
+++ b/tarragonlift/core/balancer.py
@@ -17,6 +17,8 @@
 from tarragonlift.core import pool as pool_module
 from tarragonlift.core import replica
 from tarragonlift.core import routing
+from tarragonlift.core import seats
+from tarragonlift.core import suspects
 from tarragonlift.core import timeline
 from tarragonlift.core import warming
 from tarragonlift import exceptions
@@ -71,6 +73,8 @@
         self.duties = warming.WarmingDuties(identity.daemon, self.membership)
         self.claims = claims.ClaimBook(identity.daemon)
         self.timeline = timeline.Timeline(identity.daemon)
+        self.seats = seats.SeatKeeper(identity.daemon)
+        self.suspects = suspects.Suspects(identity.daemon, self.replica)
 
     @property
     def identity(self) -> Identity:
@@ -127,6 +131,9 @@
         for service in configuration.services:
             self._configure_pool(service)
         self._refresh()
+        self.seats.set_services(
+            {one.name: one.probes for one in configuration.services}
+        )
         self.replica.put(
             replica.KIND_APPLIED, self._identity.daemon, {"version": version}
         )
@@ -234,9 +241,12 @@
             caller=caller,
             received_at=now,
             deadline_at=now + (head.timeout_s or service.deadline_s),
-            fingerprint=head.fingerprint if key else "",
+            fingerprint=head.fingerprint,
         )
-        return call_module.Call(request, self._pools[service.name])
+        if len(self.suspects) and self._is_held(request):
+            raise exceptions.CrashSuspected(const.Outcome.NOT_RUN)
+        pool = self._pools[service.name]
+        return call_module.Call(request, pool, self.suspects)
 
     def new_request_id(self) -> str:
         """Return an identifier that no other request has."""
@@ -348,6 +358,8 @@
                 self.note(kind, item.name, state, wall_time)
             elif item.kind == replica.KIND_BACKEND:
                 self._follow_backend(item)
+            elif item.kind == replica.KIND_HELD:
+                self.suspects.refresh()
             elif item.kind == replica.KIND_MEMBER:
                 self._follow_member(item)
                 self._refresh()
@@ -409,6 +421,11 @@
         for item in self.replica.items(replica.KIND_BACKEND):
             self._follow_backend(item)
 
+    def _is_held(self, request: models.Request) -> bool:
+        """Return whether requests like this one are held back."""
+        crashes = self.suspects.crashes(request.fingerprint)
+        return crashes >= request.service.crash_limit
+
     def _all_backends(self) -> abc.Iterator[pool_module.Backend]:
         """Return the backend servers of all services."""
         for pool in self._pools.values():
--- a/tarragonlift/core/call.py
+++ b/tarragonlift/core/call.py
@@ -8,6 +8,7 @@
 from tarragonlift.core import const
 from tarragonlift.core import models
 from tarragonlift.core import pool as pool_module
+from tarragonlift.core import suspects
 from tarragonlift import exceptions
 
 Actions = list[actions.Action]
@@ -48,11 +49,15 @@
     """
 
     def __init__(
-        self, request: models.Request, pool: pool_module.ServicePool
+        self,
+        request: models.Request,
+        pool: pool_module.ServicePool,
+        suspected: suspects.Suspects | None = None,
     ) -> None:
         """Prepare; nothing happens before ``start``."""
         self._request = request
         self._pool = pool
+        self._suspects = suspected
         self._phase = Phase.NEW
         self._attempts: list[Attempt] = []
         self._tried: set[str] = set()
@@ -146,6 +151,8 @@
             return []
         self._end(attempt)
         self._phase = Phase.DONE
+        if self._suspects is not None and len(self._suspects):
+            self._suspects.clear(self._request.fingerprint)
         result: Actions = []
         if self._is_once:
             result.append(actions.Record(attempt))
@@ -175,6 +182,8 @@
             return [note, *self._cut_short()]
         if failure not in const.FAILURES_NOT_RUN:
             self._ever_sent = True
+        if failure is const.AttemptFailure.BROKEN_BEFORE_ANSWER:
+            self._add_crash()
         if self._attempts:
             return [note]
         if self._phase is Phase.DETACHED:
@@ -294,8 +303,26 @@
             return False
         if self._is_once and failure not in const.FAILURES_NOT_RUN:
             return False
+        if self._is_held():
+            return False
         return self._pool.retry_budget.spend()
 
+    def _add_crash(self) -> None:
+        """Count a connection that died with this request in flight."""
+        if self._suspects is None or not self.body_complete:
+            return
+        request = self._request
+        route = f"{request.method} {request.path}"
+        self._suspects.add_crash(request.fingerprint, route)
+
+    def _is_held(self) -> bool:
+        """Return whether requests like this one crash servers."""
+        if self._suspects is None:
+            return False
+        request = self._request
+        crashes = self._suspects.crashes(request.fingerprint)
+        return crashes >= request.service.crash_limit
+
     def _failure_refusal(
         self, failure: const.AttemptFailure
     ) -> exceptions.Refusal:
@@ -303,6 +330,8 @@
         outcome = self._outcome_so_far()
         if failure in const.FAILURES_NOT_RUN:
             return exceptions.NoBackendServer(outcome)
+        if self._is_held():
+            return exceptions.CrashSuspected(outcome)
         return exceptions.BackendFailed(outcome)
 
     def _outcome_so_far(self) -> Outcome:
--- a/tarragonlift/core/models.py
+++ b/tarragonlift/core/models.py
@@ -60,6 +60,7 @@
     queue_length: int
     caller_header: str
     crash_limit: int
+    probes: int
     rules: tuple[Rule, ...]
 
     def rule_for(self, method: str, path: str) -> Rule:
--- /dev/null
+++ b/tarragonlift_lab/bench.py
@@ -0,0 +1,277 @@
+"""Routing policies against one another on real processes."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import pathlib
+import tempfile
+from typing import Any
+
+import attrs
+
+from tarragonlift.core import routing
+from tarragonlift_lab import demo
+from tarragonlift_lab import load as load_module
+from tarragonlift_lab import processes as processes_module
+
+PLACES = ("one", "two", "three")
+WARM_SECONDS = 2.0
+FLOOR = "floor"
+QUANTILES = (("p50", 50.0), ("p99", 99.0), ("p999", 99.9))
+
+
+@attrs.frozen
+class Case:
+    """One trial: a policy, a load and the systems it meets.
+
+    The times of the servers are four times those of the users' servers
+    (10 ms of work, stalls of 5 to 200 ms every 2 s), so that one machine
+    can send the calls.
+    """
+
+    policy: str = routing.POLICY_LEAST_IN_FLIGHT
+    load: float = 0.7
+    seconds: float = 10.0
+    seed: int = 1
+    daemons: int = 6
+    servers: int = 12
+    slots: int = 6
+    mean_ms: float = 40.0
+    stall_every_s: float = 8.0
+    stall_ms_least: float = 20.0
+    stall_ms_most: float = 800.0
+    orders: float = 0.2
+    uploads: float = 0.0
+    hedge_share: float = 0.05
+    limit: int = 18
+    queue_length: int = 64
+    deadline_ms: int = 0
+
+    @property
+    def capacity(self) -> float:
+        """Return the calls a second that all servers can carry."""
+        return self.servers * self.slots / (self.mean_ms / 1000)
+
+    @property
+    def is_baseline(self) -> bool:
+        """Return whether the policy is one to compare with."""
+        return self.policy != routing.POLICY_LEAST_IN_FLIGHT
+
+
+def run_case(case: Case) -> dict[str, Any]:
+    """Run one trial and return its figures."""
+    with tempfile.TemporaryDirectory(prefix="tarragonlift-") as folder:
+        started = processes_module.Processes(pathlib.Path(folder))
+        try:
+            site = start_site(started, case)
+            return asyncio.run(_measure(site, case))
+        finally:
+            started.end_all()
+
+
+def start_site(started: processes_module.Processes, case: Case) -> demo.Site:
+    """Start platform, servers and daemons for a case."""
+    platform = started.start_lab("platform", "platform")
+    address = platform.addresses["address"]
+    servers = {}
+    for number, place in enumerate(PLACES):
+        process = _start_servers(
+            started, place, case, case.servers // len(PLACES), number
+        )
+        servers[place, "ordering"] = process.addresses["addresses"]
+    daemons: list[processes_module.Process] = []
+    for number in range(case.daemons):
+        peers = [one.addresses["peer"] for one in daemons[:3]]
+        place = PLACES[number % len(PLACES)]
+        daemons.append(
+            started.start_daemon(
+                f"entry-{number}", place, address, peers, policy=case.policy
+            )
+        )
+    calm = attrs.evolve(case, stall_every_s=0.0)
+    reference = _start_servers(started, "reference", calm, 4, 9)
+    return demo.Site(
+        started, address, servers, daemons, reference.addresses["addresses"]
+    )
+
+
+def configuration(case: Case) -> str:
+    """Return the base file for a case."""
+    service = {
+        "path_prefix": "/",
+        "limit": 1000 if case.is_baseline else case.limit,
+        "slots": case.slots,
+        "cold_limit": 2,
+        "warm_after": 1,
+        "hedge_share": 0.0 if case.is_baseline else case.hedge_share,
+        "queue_length": case.queue_length,
+        "caller_header": "Caller",
+        "rules": [
+            {"methods": ["POST"], "path_prefix": "/orders", "run": "once"}
+        ],
+    }
+    document = {
+        "data_centres": list(PLACES),
+        "services": {"ordering": service},
+    }
+    return json.dumps(document)
+
+
+async def prepare(site: demo.Site, base: str) -> None:
+    """Publish hosts and configuration, and wait."""
+    await demo.publish_hosts(site)
+    await demo.push_configuration(site, base, {})
+    await demo.wait_ready(site)
+
+
+async def _measure(site: demo.Site, case: Case) -> dict[str, Any]:
+    """Warm up, then load and measure."""
+    await prepare(site, configuration(case))
+    rate = case.load * case.capacity
+    mix = load_module.Mix(
+        rate=rate,
+        orders=case.orders,
+        uploads=case.uploads,
+        direct_share=0.05,
+        deadline_ms=case.deadline_ms,
+    )
+    warm = load_module.Load(
+        attrs.evolve(mix, rate=rate / 2, direct_share=0.0),
+        site.entries(),
+        [],
+        case.seed + 1,
+    )
+    await warm.run(WARM_SECONDS)
+    before = _figures(site)
+    load = load_module.Load(mix, site.entries(), site.reference, case.seed)
+    result = await load.run(case.seconds)
+    after = _figures(site)
+    return _report(case, result, before, after)
+
+
+def _start_servers(
+    started: processes_module.Processes,
+    name: str,
+    case: Case,
+    count: int,
+    seed: int,
+) -> processes_module.Process:
+    """Start a group of stand-in servers in one process."""
+    return started.start_lab(
+        name,
+        "servers",
+        *("--name", name, "--count", str(count), "--starts-warm"),
+        *("--seed", str(case.seed * 100 + seed)),
+        *("--slots", str(case.slots), "--mean-ms", str(case.mean_ms)),
+        *("--stall-every-s", str(case.stall_every_s)),
+        *("--stall-ms-least", str(case.stall_ms_least)),
+        *("--stall-ms-most", str(case.stall_ms_most)),
+    )
+
+
+def _figures(site: demo.Site) -> dict[str, float]:
+    """Return counters summed over all daemons."""
+    totals: dict[str, float] = {"cpu": 0.0}
+    for number, daemon in enumerate(site.daemons):
+        totals["cpu"] += daemon.cpu_seconds()
+        document = site.api(number).get("/v1/daemon")
+        totals["control"] = (
+            totals.get("control", 0.0) + document["control_bytes_sent"]
+        )
+        for name, value in document["counters"].items():
+            totals[name] = totals.get(name, 0.0) + value
+        claims = document["claims"]
+        for name in ("transactions", "operations"):
+            totals[name] = totals.get(name, 0.0) + claims[name]
+    return totals
+
+
+def _report(
+    case: Case,
+    result: load_module.Result,
+    before: dict[str, float],
+    after: dict[str, float],
+) -> dict[str, Any]:
+    """Return the figures of a trial."""
+    grown = {
+        name: value - before.get(name, 0.0) for name, value in after.items()
+    }
+    calls = max(1.0, grown.get("calls", 0.0))
+    names = {"lookup": "lookup", "order": "order", FLOOR: "direct"}
+    return {
+        "policy": case.policy,
+        "load": case.load,
+        "calls": result.calls,
+        "failed": result.failed,
+        "errors": result.errors,
+        "extra_attempts": round(grown.get("attempts", 0.0) / calls - 1.0, 4),
+        "cpu_us_per_call": round(grown["cpu"] / calls * 1e6),
+        "table_writes_per_order": _share(
+            grown.get("transactions", 0.0), grown.get("operations", 0.0) / 2
+        ),
+        "control_bytes_s_per_daemon": round(
+            grown.get("control", 0.0) / case.seconds / case.daemons
+        ),
+        "latency_ms": {
+            name: {
+                label: round(result.quantile_ms(kind, percent), 2)
+                for label, percent in QUANTILES
+            }
+            for name, kind in names.items()
+        },
+    }
+
+
+def _share(part: float, whole: float) -> float:
+    """Return a share, 0 of nothing."""
+    return round(part / whole, 3) if whole else 0.0
+
+
+def table(results: list[dict[str, Any]]) -> str:
+    """Return a table with ratios to two choices and to the floor."""
+    lines = [
+        "| load | policy | lookup p50 / p99 / p99.9 ms | order p99 ms | "
+        "p99, p99.9 to two choices | p99, p99.9 to the floor | order p99 to "
+        "two choices | extra attempts | failed |",
+        "|---|---|---|---|---|---|---|---|---|",
+    ]
+    base = {
+        one["load"]: one["latency_ms"]
+        for one in results
+        if one["policy"] == routing.POLICY_TWO_CHOICES
+    }
+    lines.extend(_row(one, base.get(one["load"])) for one in results)
+    return "\n".join(lines)
+
+
+def _row(one: dict[str, Any], base: dict[str, Any] | None) -> str:
+    """Return the row of one trial."""
+    latency = one["latency_ms"]
+    lookup = latency["lookup"]
+    cells = [
+        f"{one['load']:.0%}",
+        one["policy"],
+        f"{lookup['p50']} / {lookup['p99']} / {lookup['p999']}",
+        f"{latency['order']['p99']}",
+        _ratios(lookup, base and base["lookup"], ("p99", "p999")),
+        _ratios(lookup, latency[FLOOR], ("p99", "p999")),
+        _ratios(latency["order"], base and base["order"], ("p99",)),
+        f"{one['extra_attempts']:.1%}",
+        str(one["failed"]),
+    ]
+    return "| " + " | ".join(cells) + " |"
+
+
+def _ratios(
+    values: dict[str, float],
+    base: dict[str, float] | None,
+    labels: tuple[str, ...],
+) -> str:
+    """Return values as ratios to a base."""
+    if not base:
+        return "-"
+    return ", ".join(
+        f"{values[label] / base[label]:.2f}" if base[label] else "-"
+        for label in labels
+    )
--- a/tarragonlift_lab/cli.py
+++ b/tarragonlift_lab/cli.py
@@ -5,13 +5,18 @@
 import asyncio
 import json
 import pathlib
+import sys
 from typing import Annotated
 
 import typer
 
+from tarragonlift.core import routing
+from tarragonlift.helpers import jsonc
+from tarragonlift_lab import bench as bench_module
 from tarragonlift_lab import demo as demo_module
 from tarragonlift_lab import http
 from tarragonlift_lab import platform as platform_module
+from tarragonlift_lab import plots
 from tarragonlift_lab import server as server_module
 
 app = typer.Typer(
@@ -50,6 +55,8 @@
     warm_after: int = 40,
     line: int = 200,
     stall_every_s: float = 0.0,
+    stall_ms_least: float = 5.0,
+    stall_ms_most: float = 200.0,
     load_lag_s: float = 0.5,
     starts_warm: bool = False,
     ready_file: ReadyOption = None,
@@ -63,6 +70,8 @@
         warm_after=warm_after,
         line=line,
         stall_every_s=stall_every_s,
+        stall_ms_least=stall_ms_least,
+        stall_ms_most=stall_ms_most,
         load_lag_s=load_lag_s,
         starts_warm=starts_warm,
     )
@@ -98,6 +107,61 @@
         raise typer.Exit(1)
 
 
+@app.command()
+def bench(
+    policy: Annotated[
+        list[str] | None,
+        typer.Option(help="Routing policy; may be given several times."),
+    ] = None,
+    load: Annotated[
+        list[float] | None,
+        typer.Option(help="Share of the capacity; may be given again."),
+    ] = None,
+    seconds: float = 10.0,
+    seed: int = 1,
+    experiment: Annotated[
+        pathlib.Path | None,
+        typer.Option(help="JSON with comments: a list of cases."),
+    ] = None,
+    json_file: Annotated[
+        pathlib.Path | None, typer.Option("--json", help="File for figures.")
+    ] = None,
+    plot: Annotated[
+        pathlib.Path | None, typer.Option(help="PNG file for a plot.")
+    ] = None,
+) -> None:
+    """Measure routing policies against one another."""
+    cases = _cases(experiment, policy, load, seconds, seed)
+    results = []
+    for case in cases:
+        results.append(bench_module.run_case(case))
+        print(json.dumps(results[-1]), file=sys.stderr, flush=True)
+    print(bench_module.table(results))
+    if json_file is not None:
+        json_file.write_text(json.dumps(results, indent=2))
+    if plot is not None:
+        plots.plot_policies(results, plot)
+
+
+def _cases(
+    experiment: pathlib.Path | None,
+    policies: list[str] | None,
+    loads: list[float] | None,
+    seconds: float,
+    seed: int,
+) -> list[bench_module.Case]:
+    """Return the cases of a file, or of the options."""
+    if experiment is not None:
+        return [bench_module.Case(**one) for one in jsonc.read(experiment)]
+    return [
+        bench_module.Case(
+            policy=policy, load=share, seconds=seconds, seed=seed
+        )
+        for share in loads or [0.7]
+        for policy in policies or routing.POLICIES
+    ]
+
+
 def _tell(path: pathlib.Path | None, document: dict[str, object]) -> None:
     """Write the addresses for whoever started this process."""
     text = json.dumps(document)
--- a/tarragonlift_lab/demo.py
+++ b/tarragonlift_lab/demo.py
@@ -170,14 +170,18 @@
     await control(site.platform, {"hosts": hosts})
 
 
-async def push_configuration(site: Site) -> int:
+async def push_configuration(
+    site: Site,
+    base: str = BASE,
+    overlays: dict[str, str] = OVERLAYS,
+) -> int:
     """Push base and overlays through one daemon; return the version."""
     api = site.api()
     body = {
         "push": "demo-push",
         "if_version": 0,
-        "base": BASE,
-        "overlays": OVERLAYS,
+        "base": base,
+        "overlays": overlays,
     }
 
     def push() -> dict[str, Any]:
--- /dev/null
+++ b/tarragonlift_lab/plots.py
@@ -0,0 +1,55 @@
+"""Plots of the lab's figures."""
+
+from __future__ import annotations
+
+import pathlib
+from typing import Any
+
+import matplotlib
+
+matplotlib.use("Agg")
+
+from matplotlib import pyplot  # noqa: E402 - after the choice of backend
+
+LABELS = ("p50", "p99", "p999")
+
+
+def plot_policies(results: list[dict[str, Any]], path: pathlib.Path) -> None:
+    """Plot the latency of lookups for each policy and load."""
+    loads = sorted({one["load"] for one in results})
+    figure, axes = pyplot.subplots(
+        1, len(loads), figsize=(5 * len(loads), 4), squeeze=False, sharey=True
+    )
+    for axis, share in zip(axes[0], loads, strict=True):
+        for one in results:
+            if one["load"] != share:
+                continue
+            values = [one["latency_ms"]["lookup"][label] for label in LABELS]
+            axis.plot(LABELS, values, marker="o", label=one["policy"])
+        axis.set_title(f"{share:.0%} of capacity")
+        axis.set_yscale("log")
+        axis.set_ylabel("lookup latency, ms")
+        axis.grid(visible=True, which="both", alpha=0.3)
+    axes[0][0].legend(fontsize="small")
+    figure.tight_layout()
+    figure.savefig(path, dpi=100)
+    pyplot.close(figure)
+
+
+def plot_service(seconds: dict[str, Any], path: pathlib.Path) -> None:
+    """Plot service second by second while a data centre moves."""
+    figure, (top, bottom) = pyplot.subplots(2, 1, figsize=(9, 5), sharex=True)
+    top.plot(seconds["second"], seconds["p99_ms"], marker=".")
+    top.set_ylabel("p99 of lookups, ms")
+    bottom.bar(seconds["second"], seconds["failed"])
+    bottom.set_ylabel("failed calls")
+    bottom.set_xlabel("second")
+    for name, at in seconds.get("marks", {}).items():
+        for axis in (top, bottom):
+            axis.axvline(at, color="tab:red", linestyle="--")
+        top.annotate(name, (at, top.get_ylim()[1]), fontsize="small")
+    for axis in (top, bottom):
+        axis.grid(visible=True, alpha=0.3)
+    figure.tight_layout()
+    figure.savefig(path, dpi=100)
+    pyplot.close(figure)
--- a/tarragonlift_lab/server.py
+++ b/tarragonlift_lab/server.py
@@ -53,7 +53,7 @@
         self._rng = random.Random(seed)
         self._free = model.slots
         self._line: list[asyncio.Future[None]] = []
-        self._stalled_until = 0.0
+        self._stall = (math.inf, math.inf)
         self._collapsed_until = 0.0
         self._reports: list[tuple[float, int]] = []
         self.start_id = ""
@@ -119,7 +119,7 @@
         await self._enter()
         try:
             self._run(request)
-            await asyncio.sleep(self._seconds())
+            await self._take_time()
             if self.faults.get("die_in_work"):
                 raise http.Drop()
         finally:
@@ -163,20 +163,36 @@
                 return
         self._free += 1
 
+    async def _take_time(self) -> None:
+        """Take the time of the work; a stall stops all work meanwhile."""
+        left = self._seconds()
+        while left > 0:
+            now = time.time()
+            start, end = self._next_stall(now)
+            if start <= now:
+                await asyncio.sleep(end - now)
+                continue
+            await asyncio.sleep(min(left, start - now))
+            left -= time.time() - now
+
+    def _next_stall(self, now: float) -> tuple[float, float]:
+        """Return when the present or next stall begins and ends."""
+        model = self._model
+        if not model.stall_every_s:
+            return math.inf, math.inf
+        if self._stall[0] is math.inf or self._stall[1] <= now:
+            start = now + self._rng.expovariate(1 / model.stall_every_s)
+            least, most = model.stall_ms_least, model.stall_ms_most
+            length = self._rng.uniform(least, most) / 1000
+            self._stall = (start, start + length)
+        return self._stall
+
     def _seconds(self) -> float:
         """Return how long the work takes."""
         model = self._model
-        now = time.time()
-        if model.stall_every_s and now > self._stalled_until:
-            chance = model.mean_ms / 1000 / model.stall_every_s
-            if self._rng.random() < chance * model.slots:
-                least, most = model.stall_ms_least, model.stall_ms_most
-                stall = self._rng.uniform(least, most) / 1000
-                self._stalled_until = now + stall
         mu = math.log(model.mean_ms / 1000) - model.sigma**2 / 2
         seconds = self._rng.lognormvariate(mu, model.sigma)
-        seconds += max(0.0, self._stalled_until - now)
-        if now < self._collapsed_until:
+        if time.time() < self._collapsed_until:
             seconds *= COLLAPSE_SLOWDOWN
         return seconds + self.faults.get("slow_ms", 0.0) / 1000
 
--- a/tests/common.py
+++ b/tests/common.py
@@ -29,6 +29,7 @@
     queue_length=4,
     caller_header="Caller",
     crash_limit=3,
+    probes=1,
     rules=(
         models.Rule(
             frozenset(("POST",)), "/", const.Run.ONCE, "Idempotency-Key"
