Name the doors of the core and avoid servers that fall silent

Cause: the parts round the core took sockets and clocks directly, so only real processes could drive them; and a server counted as stalled only once its oldest request was twice as old as usual. Change: Loop, Table, ObjectStore, HostList and Peers are abstract base classes that fakes can take the place of. Routing adds to a server's requests in flight how long it was silent, in usual gaps between its answers; a call may be hedged twice.

--- a/tarragonlift/components/admin/handlers.py
+++ b/tarragonlift/components/admin/handlers.py
@@ -13,9 +13,9 @@
 from tarragonlift.components.admin import const
 from tarragonlift.components.admin import models
 from tarragonlift.components.configuration import const as configuration_const
-from tarragonlift.components.platform import store
 from tarragonlift import config
 from tarragonlift.core import const as core_const
+from tarragonlift.core import doors
 from tarragonlift.core import replica
 from tarragonlift import exceptions
 from tarragonlift.helpers import schema
@@ -112,7 +112,7 @@
         """Read the history of pushes; the operation tells it."""
         operation = self._begin()
 
-        def done(rows: list[store.Row] | exceptions.PlatformError) -> None:
+        def done(rows: list[doors.Row] | exceptions.PlatformError) -> None:
             if isinstance(rows, exceptions.PlatformError):
                 _fail(operation, rows)
                 return
--- a/tarragonlift/components/claims/__init__.py
+++ b/tarragonlift/components/claims/__init__.py
@@ -2,34 +2,57 @@
 
 from __future__ import annotations
 
-import time
+import abc
+from collections import abc as collections_abc
 
-from tarragonlift.components.data_path import server
-from tarragonlift.components.platform import store
+
+from tarragonlift.core import actions
 from tarragonlift.core import balancer as balancer_module
+from tarragonlift.core import call as call_module
 from tarragonlift.core import claims
+from tarragonlift.core import doors
 from tarragonlift import exceptions
 
 
+class Exchange(abc.ABC):
+    """One request in progress."""
+
+    @abc.abstractmethod
+    def run(self, wanted: list[actions.Action]) -> None:
+        """Carry out actions."""
+
+
+class Exchanges(abc.ABC):
+    """All requests in progress in this process."""
+
+    on_claims: collections_abc.Callable[[], None]
+
+    @abc.abstractmethod
+    def exchange_of(self, one: call_module.Call) -> Exchange | None:
+        """Return the exchange of a call that is in progress."""
+
+
 class ClaimWriter:
     """Sends claims, records and releases; tells the calls what came of it."""
 
     def __init__(
         self,
+        loop: doors.Loop,
         balancer: balancer_module.Balancer,
-        table: store.Table,
-        data_path: server.DataPath,
+        table: doors.Table,
+        exchanges: Exchanges,
     ) -> None:
-        """Serve the claims of this data path."""
+        """Serve the claims of these exchanges."""
+        self._loop = loop
         self._balancer = balancer
         self._book = balancer.claims
         self._table = table
-        self._data_path = data_path
-        data_path.on_claims = self.kick
+        self._exchanges = exchanges
+        exchanges.on_claims = self.kick
 
     def kick(self) -> None:
         """Ask the table what the claim book wants to know now."""
-        for request in self._book.next_requests(time.monotonic()):
+        for request in self._book.next_requests(self._loop.now()):
             if isinstance(request, claims.Transact):
                 self._transact(request)
             else:
@@ -39,7 +62,7 @@
         """Send one transaction."""
 
         def done(result: list[claims.Row] | exceptions.PlatformError) -> None:
-            now = time.monotonic()
+            now = self._loop.now()
             if isinstance(result, exceptions.PlatformError):
                 self._failed(request.number, result, now)
                 return
@@ -52,7 +75,7 @@
         """Read one row back."""
 
         def done(result: claims.Row | exceptions.PlatformError) -> None:
-            now = time.monotonic()
+            now = self._loop.now()
             if isinstance(result, exceptions.PlatformError):
                 self._failed(request.number, result, now)
                 return
@@ -72,7 +95,7 @@
     def _tell(self, told: list[claims.Told], now: float) -> None:
         """Tell calls what the table said, then go on."""
         for one in told:
-            exchange = self._data_path.exchange_of(one.call)
+            exchange = self._exchanges.exchange_of(one.call)
             if exchange is None:
                 self._tell_forgotten(one)
                 continue
@@ -90,9 +113,10 @@
 
 
 def create_claim_writer(
+    loop: doors.Loop,
     balancer: balancer_module.Balancer,
-    table: store.Table,
-    data_path: server.DataPath,
+    table: doors.Table,
+    exchanges: Exchanges,
 ) -> ClaimWriter:
-    """Return a writer that is joined with the data path."""
-    return ClaimWriter(balancer, table, data_path)
+    """Return a writer that is joined with the exchanges."""
+    return ClaimWriter(loop, balancer, table, exchanges)
--- a/tarragonlift/components/configuration/__init__.py
+++ b/tarragonlift/components/configuration/__init__.py
@@ -9,18 +9,15 @@
 
 from collections import abc
 import hashlib
-import time
 from typing import Any
 
 import attrs
 
 from tarragonlift.components.configuration import const
-from tarragonlift.components.data_path import poller as poller_module
-from tarragonlift.components.peers import mesh as mesh_module
-from tarragonlift.components.platform import store
 from tarragonlift import config
 from tarragonlift.core import balancer as balancer_module
 from tarragonlift.core import const as core_const
+from tarragonlift.core import doors
 from tarragonlift.core import replica
 from tarragonlift import exceptions
 
@@ -48,18 +45,18 @@
 
     def __init__(
         self,
-        poller: poller_module.DataPoller,
+        loop: doors.Loop,
         balancer: balancer_module.Balancer,
-        table: store.Table,
-        objects: store.ObjectStore,
-        mesh: mesh_module.Mesh,
+        table: doors.Table,
+        objects: doors.ObjectStore,
+        peers: doors.Peers,
     ) -> None:
         """Follow nothing before ``start``."""
-        self._poller = poller
+        self._loop = loop
         self._balancer = balancer
         self._table = table
         self._objects = objects
-        self._mesh = mesh
+        self._peers = peers
         self._bundle: config.Bundle | None = None
         self._digest = ""
         self._learned = 0
@@ -77,7 +74,7 @@
 
     def start(self) -> None:
         """Follow the head from now on."""
-        self._pull(time.monotonic())
+        self._pull(self._loop.now())
 
     def push(
         self,
@@ -105,11 +102,11 @@
 
         self._objects.put(const.OBJECT_PREFIX + digest, data, stored)
 
-    def history(self, callback: store.RowsCallback) -> None:
+    def history(self, callback: doors.RowsCallback) -> None:
         """Read the history of pushes."""
         self._table.scan(const.HISTORY_PREFIX, callback)
 
-    def fetch_bundle(self, digest: str, callback: store.BytesCallback) -> None:
+    def fetch_bundle(self, digest: str, callback: doors.BytesCallback) -> None:
         """Read an old configuration by its digest."""
         self._objects.get(const.OBJECT_PREFIX + digest, callback)
 
@@ -124,9 +121,9 @@
     def _pull(self, now: float) -> None:
         """Read the head once in a while."""
         when = now + const.PULL_SECONDS
-        self._poller.timers.call_at(when, self._pull)
+        self._loop.call_at(when, self._pull)
 
-        def done(row: store.Row | exceptions.PlatformError) -> None:
+        def done(row: doors.Row | exceptions.PlatformError) -> None:
             if isinstance(row, exceptions.PlatformError):
                 self.follow_replica()
             elif row.value is not None:
@@ -145,7 +142,7 @@
             if isinstance(data, bytes):
                 self._adopt(version, digest, data)
             else:
-                self._mesh.fetch(digest, from_peer)
+                self._peers.fetch(digest, from_peer)
 
         def from_peer(data: bytes) -> None:
             self._adopt(version, digest, data)
@@ -159,11 +156,13 @@
         bundle = config.Bundle.decode(data)
         identity = self._balancer.identity
         configuration = config.build(bundle, identity.data_centre)
-        if not self._balancer.adopt(version, configuration, time.time()):
+        if not self._balancer.adopt(
+            version, configuration, self._loop.wall_time()
+        ):
             return
         self._bundle = bundle
         self._digest = digest
-        self._mesh.documents = {digest: data}
+        self._peers.keep(digest, data)
         self._tell(version, digest)
         self.on_adopted()
 
@@ -175,7 +174,7 @@
             value = {"version": version, "digest": digest}
             told = replica.Item(kind, HEAD_NAME, version, 0, "", value)
             self._balancer.replica.merge([told])
-        self._mesh.spread_news()
+        self._peers.spread_news()
 
     def _move_head(self, push: _Push) -> None:
         """Move the head from version n to n+1.
@@ -188,13 +187,13 @@
             "digest": push.digest,
             "push": push.push_id,
             "operator": push.operator,
-            "at": round(time.time(), 3),
+            "at": round(self._loop.wall_time(), 3),
         }
-        head = store.Operation(const.HEAD_KEY, value, push.if_version)
+        head = doors.Operation(const.HEAD_KEY, value, push.if_version)
         history_key = f"{const.HISTORY_PREFIX}{version:08d}"
-        history = store.Operation(history_key, value, 0)
+        history = doors.Operation(history_key, value, 0)
 
-        def done(result: list[store.Row] | exceptions.PlatformError) -> None:
+        def done(result: list[doors.Row] | exceptions.PlatformError) -> None:
             if isinstance(result, exceptions.PlatformError):
                 self._retry(push, result)
             elif not result or _has_push(result, history_key, push):
@@ -213,14 +212,14 @@
             lost = exceptions.PlatformAnswerLost()
             push.callback(lost if push.maybe_written else error)
             return
-        when = time.monotonic() + const.RETRY_SECONDS
-        self._poller.timers.call_at(when, lambda now: self._move_head(push))
+        when = self._loop.now() + const.RETRY_SECONDS
+        self._loop.call_at(when, lambda now: self._move_head(push))
 
     def _pushed(self, push: _Push, version: int) -> None:
         """The push is accepted."""
         kind = core_const.EVENT_CONFIGURATION_PUSHED
         detail = f"{push.operator} {push.push_id}"
-        self._balancer.note(kind, str(version), detail, time.time())
+        self._balancer.note(kind, str(version), detail, self._loop.wall_time())
         self._adopt(version, push.digest, push.bundle.encode())
         push.callback(version)
 
@@ -230,7 +229,7 @@
     return hashlib.sha256(data).hexdigest()
 
 
-def _has_push(rows: abc.Iterable[store.Row], key: str, push: _Push) -> bool:
+def _has_push(rows: abc.Iterable[doors.Row], key: str, push: _Push) -> bool:
     """Return whether the row of this key was written by the push."""
     for row in rows:
         if row.key == key and row.value is not None:
@@ -239,7 +238,7 @@
 
 
 def _conflict(
-    rows: abc.Iterable[store.Row],
+    rows: abc.Iterable[doors.Row],
 ) -> exceptions.ConfigurationConflict:
     """Return who was first."""
     newest = max(rows, key=lambda row: (row.key == const.HEAD_KEY))
--- a/tarragonlift/components/daemon/__init__.py
+++ b/tarragonlift/components/daemon/__init__.py
@@ -80,7 +80,7 @@
         """Create the parts that follow the platform and the peers."""
         table = self._platform.table
         self._claims = claims.create_claim_writer(
-            self._balancer, table, self._data_path
+            self._poller, self._balancer, table, self._data_path
         )
         self._configuration = configuration.ConfigurationKeeper(
             self._poller,
--- a/tarragonlift/components/data_centres/__init__.py
+++ b/tarragonlift/components/data_centres/__init__.py
@@ -7,11 +7,9 @@
 from __future__ import annotations
 
 from collections import abc
-import time
 
-from tarragonlift.components.data_path import poller as poller_module
-from tarragonlift.components.platform import store
 from tarragonlift.core import balancer as balancer_module
+from tarragonlift.core import doors
 from tarragonlift.core import replica
 from tarragonlift import exceptions
 
@@ -24,13 +22,13 @@
 
     def __init__(
         self,
-        poller: poller_module.DataPoller,
+        loop: doors.Loop,
         balancer: balancer_module.Balancer,
-        table: store.Table,
+        table: doors.Table,
         on_changes: abc.Callable[[], None],
     ) -> None:
         """Do nothing before ``start``."""
-        self._poller = poller
+        self._loop = loop
         self._balancer = balancer
         self._table = table
         self._on_changes = on_changes
@@ -38,12 +36,12 @@
 
     def start(self) -> None:
         """Keep both alike from now on."""
-        self._tick(time.monotonic())
+        self._tick(self._loop.now())
 
     def sync(self) -> None:
         """Read the table, then write what it does not know."""
 
-        def done(rows: list[store.Row] | exceptions.PlatformError) -> None:
+        def done(rows: list[doors.Row] | exceptions.PlatformError) -> None:
             if isinstance(rows, exceptions.PlatformError):
                 return
             self.synced = True
@@ -54,16 +52,16 @@
 
     def _tick(self, now: float) -> None:
         """Synchronise once in a while."""
-        self._poller.timers.call_at(now + SYNC_SECONDS, self._tick)
+        self._loop.call_at(now + SYNC_SECONDS, self._tick)
         self.sync()
 
-    def _merge(self, rows: list[store.Row]) -> None:
+    def _merge(self, rows: list[doors.Row]) -> None:
         """Take what the table knows."""
         items = [_item(row) for row in rows]
         if self._balancer.replica.merge(items):
             self._on_changes()
 
-    def _write_newer(self, rows: list[store.Row]) -> None:
+    def _write_newer(self, rows: list[doors.Row]) -> None:
         """Write the states that the table does not have yet."""
         known = {row.key: row for row in rows}
         for item in self._balancer.replica.items(replica.KIND_DATA_CENTRE):
@@ -78,11 +76,11 @@
                 "origin": item.origin,
             }
             version = row.version if row is not None else 0
-            operation = store.Operation(key, value, version)
+            operation = doors.Operation(key, value, version)
             self._table.transact([operation], _ignore)
 
 
-def _item(row: store.Row) -> replica.Item:
+def _item(row: doors.Row) -> replica.Item:
     """Return the item that a row stands for."""
     value = dict(row.value or {})
     version = value.pop("version", 0)
--- a/tarragonlift/components/data_path/exchange.py
+++ b/tarragonlift/components/data_path/exchange.py
@@ -5,6 +5,7 @@
 import abc
 import time
 
+from tarragonlift.components import claims as claims_module
 from tarragonlift.components.data_path import caller
 from tarragonlift.components.data_path import client
 from tarragonlift.components.data_path import const
@@ -122,7 +123,7 @@
         self._exchange.on_backend_writable()
 
 
-class Exchange(caller.RequestListener):
+class Exchange(caller.RequestListener, claims_module.Exchange):
     """Moves bytes between a caller and the backend servers of one call."""
 
     def __init__(
--- a/tarragonlift/components/data_path/poller.py
+++ b/tarragonlift/components/data_path/poller.py
@@ -17,6 +17,7 @@
 
 from tarragonlift.components.data_path import const
 from tarragonlift.components.data_path import timers
+from tarragonlift.core import doors
 
 
 class SocketHandler(abc.ABC):
@@ -30,7 +31,7 @@
         """Send what was written meanwhile."""
 
 
-class DataPoller(pollers.EPoll):
+class DataPoller(pollers.EPoll):  # type: ignore[misc]
     """An epoll poller that serves the data path inside one event."""
 
     def __init__(self, on_error: Callable[[BaseException], None]) -> None:
@@ -47,6 +48,18 @@
         """Return the timers that this poller serves."""
         return self._timers
 
+    def now(self) -> float:
+        """Return the monotonic clock in seconds."""
+        return time.monotonic()
+
+    def wall_time(self) -> float:
+        """Return the wall clock in seconds."""
+        return time.time()
+
+    def call_at(self, when: float, function: Callable[[float], None]) -> None:
+        """Call the function with the time, at or after ``when``."""
+        self._timers.call_at(when, function)
+
     def attach(self, fileno: int, mask: int, handler: SocketHandler) -> None:
         """Serve a socket by this handler."""
         self._sockets[fileno] = handler
@@ -119,3 +132,6 @@
                 function()
             except Exception as error:
                 self._on_error(error)
+
+
+doors.Loop.register(DataPoller)
--- a/tarragonlift/components/data_path/server.py
+++ b/tarragonlift/components/data_path/server.py
@@ -8,6 +8,7 @@
 
 import xxhash
 
+from tarragonlift.components import claims as claims_module
 from tarragonlift.components.data_path import caller
 from tarragonlift.components.data_path import client
 from tarragonlift.components.data_path import connections
@@ -42,7 +43,7 @@
         """Return the status and a JSON body."""
 
 
-class DataPath(exchange_module.Host, caller.Acceptor):
+class DataPath(exchange_module.Host, caller.Acceptor, claims_module.Exchanges):
     """Accepts callers and joins them with backend servers."""
 
     def __init__(
--- a/tarragonlift/components/hosts/__init__.py
+++ b/tarragonlift/components/hosts/__init__.py
@@ -3,12 +3,9 @@
 from __future__ import annotations
 
 from collections import abc
-import time
 
-from tarragonlift.components.data_path import poller as poller_module
-from tarragonlift.components.peers import mesh as mesh_module
-from tarragonlift.components.platform import store
 from tarragonlift.core import balancer as balancer_module
+from tarragonlift.core import doors
 from tarragonlift.core import models
 from tarragonlift.core import replica
 from tarragonlift import exceptions
@@ -24,18 +21,18 @@
 
     def __init__(
         self,
-        poller: poller_module.DataPoller,
+        loop: doors.Loop,
         balancer: balancer_module.Balancer,
-        hosts: store.HostList,
-        table: store.Table,
-        mesh: mesh_module.Mesh,
+        hosts: doors.HostList,
+        table: doors.Table,
+        peers: doors.Peers,
     ) -> None:
         """Do nothing before ``start``."""
-        self._poller = poller
+        self._loop = loop
         self._balancer = balancer
         self._hosts = hosts
         self._table = table
-        self._mesh = mesh
+        self._peers = peers
         self._row_version = 0
         self._leaving = False
         self.listed = False
@@ -43,7 +40,7 @@
     def start(self) -> None:
         """Follow from now on."""
         self._announce()
-        now = time.monotonic()
+        now = self._loop.now()
         self._read_hosts(now)
         self._keep_row(now)
 
@@ -51,8 +48,8 @@
         """Tell that this daemon leaves, and remove its row."""
         self._leaving = True
         self._announce()
-        self._mesh.spread_news()
-        operation = store.Operation(self._key, None, self._row_version)
+        self._peers.spread_news()
+        operation = doors.Operation(self._key, None, self._row_version)
         self._table.transact([operation], _ignore)
 
     @property
@@ -82,7 +79,7 @@
     def _read_hosts(self, now: float) -> None:
         """Read the list of hosts once in a while."""
         when = now + HOSTS_SECONDS
-        self._poller.timers.call_at(when, self._read_hosts)
+        self._loop.call_at(when, self._read_hosts)
 
         def done(
             found: list[models.Instance] | None | exceptions.PlatformError,
@@ -95,22 +92,22 @@
 
     def _keep_row(self, now: float) -> None:
         """Keep this daemon's row fresh, and learn of the other daemons."""
-        self._poller.timers.call_at(now + ROW_SECONDS, self._keep_row)
+        self._loop.call_at(now + ROW_SECONDS, self._keep_row)
 
-        def done(rows: list[store.Row] | exceptions.PlatformError) -> None:
+        def done(rows: list[doors.Row] | exceptions.PlatformError) -> None:
             if not isinstance(rows, exceptions.PlatformError):
                 self._learn(rows)
 
         self._table.scan(ROW_PREFIX, done)
 
-    def _learn(self, rows: abc.Iterable[store.Row]) -> None:
+    def _learn(self, rows: abc.Iterable[doors.Row]) -> None:
         """Take the addresses of others; write the own row."""
-        wall_time = time.time()
+        wall_time = self._loop.wall_time()
         rows = list(rows)
         versions = {
             row.key.removeprefix(ROW_PREFIX): row.version for row in rows
         }
-        self._balancer.learn_rows(versions, time.monotonic())
+        self._balancer.learn_rows(versions, self._loop.now())
         seeds = []
         self._row_version = 0
         for row in rows:
@@ -118,11 +115,11 @@
             if row.key == self._key:
                 self._row_version = row.version
             elif wall_time - value.get("at", 0.0) > ROW_STALE_SECONDS:
-                operation = store.Operation(row.key, None, row.version)
+                operation = doors.Operation(row.key, None, row.version)
                 self._table.transact([operation], _ignore)
             else:
                 seeds.append(models.Address.parse(value["address"]))
-        self._mesh.set_seeds(seeds)
+        self._peers.set_seeds(seeds)
         if not self._leaving:
             self._write_row(wall_time)
 
@@ -133,9 +130,9 @@
             "at": round(wall_time, 3),
         }
         expected = self._row_version
-        operation = store.Operation(self._key, value, expected)
+        operation = doors.Operation(self._key, value, expected)
 
-        def done(result: list[store.Row] | exceptions.PlatformError) -> None:
+        def done(result: list[doors.Row] | exceptions.PlatformError) -> None:
             if result == []:
                 self._row_version = expected + 1
 
--- a/tarragonlift/components/measuring/__init__.py
+++ b/tarragonlift/components/measuring/__init__.py
@@ -6,18 +6,16 @@
 
 from __future__ import annotations
 
-import time
 
 import orjson
 
 from tarragonlift.components.data_path import client
-from tarragonlift.components.data_path import poller as poller_module
 from tarragonlift.components.data_path import server
 from tarragonlift.components.measuring import const
 from tarragonlift.components.metrics import recorder
-from tarragonlift.components.platform import store
 from tarragonlift.core import backend as backend_module
 from tarragonlift.core import balancer as balancer_module
+from tarragonlift.core import doors
 from tarragonlift.core import seats
 from tarragonlift import exceptions
 
@@ -68,14 +66,14 @@
 
     def __init__(
         self,
-        poller: poller_module.DataPoller,
+        loop: doors.Loop,
         balancer: balancer_module.Balancer,
-        table: store.Table,
+        table: doors.Table,
         data_path: server.DataPath,
         metrics: recorder.Recorder,
     ) -> None:
         """Do nothing before ``start``."""
-        self._poller = poller
+        self._loop = loop
         self._balancer = balancer
         self._keeper = balancer.seats
         self._table = table
@@ -84,7 +82,7 @@
 
     def start(self) -> None:
         """Take seats and probe from now on."""
-        now = time.monotonic()
+        now = self._loop.now()
         self._read_rows(now)
         self._tick(now)
 
@@ -102,25 +100,25 @@
             load = float(document["load"])
         except (orjson.JSONDecodeError, KeyError, TypeError, ValueError):
             return
-        now = time.monotonic()
+        now = self._loop.now()
         self._balancer.on_server_headers(backend, start_id, load, now)
 
     def _read_rows(self, now: float) -> None:
         """Read the seats once in a while."""
         when = now + const.ROWS_SECONDS
-        self._poller.timers.call_at(when, self._read_rows)
+        self._loop.call_at(when, self._read_rows)
         if not self._keeper.keys:
             return
 
-        def done(rows: list[store.Row] | exceptions.PlatformError) -> None:
+        def done(rows: list[doors.Row] | exceptions.PlatformError) -> None:
             if not isinstance(rows, exceptions.PlatformError):
-                self._keeper.on_rows(rows, time.monotonic())
+                self._keeper.on_rows(rows, self._loop.now())
 
         self._table.scan(seats.SEAT_PREFIX, done)
 
     def _tick(self, now: float) -> None:
         """Take or renew seats, and probe on those that are held."""
-        self._poller.timers.call_at(now + const.TICK_SECONDS, self._tick)
+        self._loop.call_at(now + const.TICK_SECONDS, self._tick)
         for operation in self._keeper.next_writes(now):
             self._write(operation)
         for key in self._keeper.keys:
@@ -129,16 +127,16 @@
             if backend is not None and self._keeper.take_probe(key, now):
                 self._probe(backend, now)
 
-    def _write(self, operation: store.Operation) -> None:
+    def _write(self, operation: doors.Operation) -> None:
         """Write one seat's row."""
 
         def done(
-            result: list[store.Row] | exceptions.PlatformError,
+            result: list[doors.Row] | exceptions.PlatformError,
         ) -> None:
             if isinstance(result, exceptions.PlatformError):
                 self._keeper.on_lost(operation.key)
             else:
-                now = time.monotonic()
+                now = self._loop.now()
                 self._keeper.on_written(operation.key, result, now)
 
         self._table.transact([operation], done)
@@ -168,15 +166,15 @@
         probe = Probe(self, backend, connection)
         connection.begin(head.encode(), probe, is_head=False)
         when = now + const.PROBE_TIMEOUT_S
-        self._poller.timers.call_at(when, probe.expire)
+        self._loop.call_at(when, probe.expire)
 
 
 def create_prober(
-    poller: poller_module.DataPoller,
+    loop: doors.Loop,
     balancer: balancer_module.Balancer,
-    table: store.Table,
+    table: doors.Table,
     data_path: server.DataPath,
     metrics: recorder.Recorder,
 ) -> Prober:
     """Return a prober that does nothing yet."""
-    return Prober(poller, balancer, table, data_path, metrics)
+    return Prober(loop, balancer, table, data_path, metrics)
--- a/tarragonlift/components/peers/mesh.py
+++ b/tarragonlift/components/peers/mesh.py
@@ -13,6 +13,7 @@
 from tarragonlift.components.peers import link
 from tarragonlift.components.peers import models
 from tarragonlift.core import balancer as balancer_module
+from tarragonlift.core import doors
 from tarragonlift.core import hlc
 from tarragonlift.core import models as core_models
 from tarragonlift.core import replica
@@ -21,7 +22,7 @@
 Address = core_models.Address
 
 
-class Mesh:
+class Mesh(doors.Peers):
     """Spreads this daemon's state and takes that of others."""
 
     def __init__(
@@ -44,7 +45,7 @@
         self._fetching: dict[str, abc.Callable[[bytes], None]] = {}
         self._news_due = False
         self.own_address: Address | None = None
-        self.documents: dict[str, bytes] = {}
+        self._documents: dict[str, bytes] = {}
         self.on_changes: abc.Callable[[], None] = _nothing
         self._closed_bytes = 0
 
@@ -85,6 +86,10 @@
             address = Address.parse(item.value["address"])
             self._link_to(address, message)
 
+    def keep(self, digest: str, data: bytes) -> None:
+        """Have the bytes of a configuration at hand for peers."""
+        self._documents = {digest: data}
+
     def spread_news(self) -> None:
         """Tell news to a few peers soon."""
         if self._news_due:
@@ -189,7 +194,7 @@
         if isinstance(message, models.Gossip):
             self._on_gossip(message)
         elif isinstance(message, models.Fetch):
-            data = self.documents.get(message.digest, b"")
+            data = self._documents.get(message.digest, b"")
             sender.send(models.Document(message.digest, data))
         elif isinstance(message, models.Document):
             callback = self._fetching.pop(message.digest, None)
--- a/tarragonlift/components/platform/store.py
+++ b/tarragonlift/components/platform/store.py
@@ -10,22 +10,15 @@
 
 from tarragonlift.components.platform import client
 from tarragonlift.components.platform import const
-from tarragonlift.core import claims
+from tarragonlift.core import doors
 from tarragonlift.core import models
 from tarragonlift import exceptions
 
-Row = claims.Row
-Operation = claims.Operation
-RowCallback = abc.Callable[[Row | exceptions.PlatformError], None]
-RowsCallback = abc.Callable[[list[Row] | exceptions.PlatformError], None]
-ConflictsCallback = abc.Callable[[list[Row] | exceptions.PlatformError], None]
-BytesCallback = abc.Callable[[bytes | None | exceptions.PlatformError], None]
-HostsCallback = abc.Callable[
-    [list[models.Instance] | None | exceptions.PlatformError], None
-]
+Row = doors.Row
+Operation = doors.Operation
 
 
-class Table:
+class Table(doors.Table):
     """Rows with versions, changed by transactions with conditions."""
 
     def __init__(self, platform: client.PlatformClient) -> None:
@@ -35,7 +28,7 @@
     def transact(
         self,
         operations: abc.Iterable[Operation],
-        callback: ConflictsCallback,
+        callback: doors.RowsCallback,
     ) -> None:
         """Do all writes or none; the callback gets rows in the way."""
         document = {
@@ -63,7 +56,7 @@
         body = orjson.dumps(document)
         self._platform.request("POST", const.PATH_TRANSACT, body, done)
 
-    def read(self, key: str, callback: RowCallback) -> None:
+    def read(self, key: str, callback: doors.RowCallback) -> None:
         """Read one row; version 0 means that there is none."""
 
         def done(result: client.Result) -> None:
@@ -77,7 +70,7 @@
         path = const.PATH_ROW + urllib.parse.quote(key, safe="")
         self._platform.request("GET", path, b"", done)
 
-    def scan(self, prefix: str, callback: RowsCallback) -> None:
+    def scan(self, prefix: str, callback: doors.RowsCallback) -> None:
         """Read all rows whose key begins with the prefix."""
 
         def done(result: client.Result) -> None:
@@ -93,7 +86,7 @@
         self._platform.request("GET", path, b"", done)
 
 
-class ObjectStore:
+class ObjectStore(doors.ObjectStore):
     """Bytes under names."""
 
     def __init__(self, platform: client.PlatformClient) -> None:
@@ -104,7 +97,7 @@
         self,
         name: str,
         data: bytes,
-        callback: abc.Callable[[exceptions.PlatformError | None], None],
+        callback: doors.StoredCallback,
     ) -> None:
         """Store bytes; the callback gets None or the error."""
 
@@ -119,7 +112,7 @@
         path = const.PATH_OBJECT + urllib.parse.quote(name)
         self._platform.request("PUT", path, data, done)
 
-    def get(self, name: str, callback: BytesCallback) -> None:
+    def get(self, name: str, callback: doors.BytesCallback) -> None:
         """Read bytes; the callback gets None where there is no object."""
 
         def done(result: client.Result) -> None:
@@ -136,7 +129,7 @@
         self._platform.request("GET", path, b"", done)
 
 
-class HostList:
+class HostList(doors.HostList):
     """The platform's list of live and leaving backend servers."""
 
     def __init__(self, platform: client.PlatformClient) -> None:
@@ -144,7 +137,7 @@
         self._platform = platform
         self._etag = ""
 
-    def read(self, callback: HostsCallback) -> None:
+    def read(self, callback: doors.HostsCallback) -> None:
         """Read the list; the callback gets None where nothing changed."""
 
         def done(result: client.Result) -> None:
--- a/tarragonlift/core/backend.py
+++ b/tarragonlift/core/backend.py
@@ -41,6 +41,8 @@
     answer_seconds: float = 10.0
     successes: int = 0
     set_aside_until: float = 0.0
+    answered_at: float = -math.inf
+    busy_since: float = -math.inf
     reported_load: float = 0.0
     reported_at: float = 0.0
     sent_at: dict[object, float] = attrs.field(factory=dict)
@@ -68,12 +70,16 @@
             return 0
         return self._allowed(now) - self.in_flight
 
-    @property
-    def stalled_since(self) -> float | None:
-        """Return when the oldest request in flight was sent."""
-        if not self.sent_at:
-            return None
-        return next(iter(self.sent_at.values()))
+    def silence(self, now: float) -> float:
+        """Return how long no answer came, in usual gaps between answers.
+
+        With n requests in flight and a mean latency m, answers come every
+        m / n seconds from a server that works.
+        """
+        if not self.in_flight:
+            return 0.0
+        quiet = now - max(self.answered_at, self.busy_since)
+        return quiet * self.in_flight / self.latency_mean.mean
 
     def _allowed(self, now: float) -> int:
         """Return the requests at once that its warmth allows."""
--- a/tarragonlift/core/call.py
+++ b/tarragonlift/core/call.py
@@ -290,12 +290,14 @@
         self._hedge_at = float("inf")
         if not (self.replayable and self.body_complete):
             return []
-        if len(self._attempts) != 1:
+        if len(self._attempts) > const.HEDGES_MOST:
             return []
         backend = self._pool.choose(now, self._tried)
         if backend is None or not self._pool.hedge_budget.spend():
             return []
-        return [actions.Send(self._start_attempt(backend, now))]
+        self._hedge_at = now + self._pool.hedge_delay
+        attempt = self._start_attempt(backend, now)
+        return [actions.Send(attempt), actions.WakeAt(self._hedge_at)]
 
     def _may_retry(self, failure: const.AttemptFailure) -> bool:
         """Return whether another attempt is right and within the budget."""
--- a/tarragonlift/core/claims.py
+++ b/tarragonlift/core/claims.py
@@ -16,6 +16,7 @@
 import attrs
 
 from tarragonlift.core import call as call_module
+from tarragonlift.core import doors
 from tarragonlift.core import models
 
 if TYPE_CHECKING:
@@ -29,24 +30,8 @@
 ORPHANS_MOST = 10000
 
 ClaimState = call_module.ClaimState
-
-
-@attrs.frozen
-class Operation:
-    """One conditional write: the row's version must be this (0: no row)."""
-
-    key: str
-    value: dict[str, Any] | None
-    if_version: int
-
-
-@attrs.frozen
-class Row:
-    """A row of the table; version 0 means that there is none."""
-
-    key: str
-    version: int
-    value: dict[str, Any] | None
+Operation = doors.Operation
+Row = doors.Row
 
 
 @attrs.frozen
--- a/tarragonlift/core/pool.py
+++ b/tarragonlift/core/pool.py
@@ -147,6 +147,8 @@
 
     def start(self, one: Backend, attempt: object, now: float) -> None:
         """Count a request that is sent to the backend server."""
+        if not one.in_flight:
+            one.busy_since = now
         one.in_flight += 1
         one.started += 1
         one.sent_at[attempt] = now
@@ -160,6 +162,7 @@
 
     def add_latency(self, one: Backend, value: float, now: float) -> None:
         """Learn from the time until the head of an answer came."""
+        one.answered_at = now
         one.latency_mean.add(value, now)
         self._latency.add(value)
 
--- a/tarragonlift/core/routing.py
+++ b/tarragonlift/core/routing.py
@@ -14,8 +14,8 @@
 POLICY_ROUND_ROBIN = "round-robin"
 POLICY_TWO_CHOICES = "two-choices"
 
-STALL_FACTOR = 2.0
-STALL_PENALTY = 4.0
+SILENCE_USUAL = 2.0
+SET_ASIDE_PENALTY = 8.0
 
 Backend = backend_module.Backend
 Candidates = collections_abc.Sequence[Backend]
@@ -89,8 +89,8 @@
 class LeastInFlightPolicy(RoutingPolicy):
     """Fewest own requests in flight, own data centre first.
 
-    A backend server whose oldest request in flight is much older than its
-    usual latency counts as busier than it is; ties go to the lower latency.
+    A backend server that was silent for longer than its requests in flight
+    explain counts as busier than it is; ties go to the lower latency.
     """
 
     prefers_own_data_centre = True
@@ -114,14 +114,11 @@
 
     def _score(self, one: Backend, now: float) -> float:
         """Return how busy the backend server seems."""
-        score = one.in_flight
-        mean = one.latency_mean.mean
-        oldest = one.stalled_since
-        if oldest is not None and now - oldest > STALL_FACTOR * mean:
-            score += STALL_PENALTY
+        score = one.in_flight + min(one.latency_mean.mean, 1.0)
+        score += max(0.0, one.silence(now) - SILENCE_USUAL)
         if one.set_aside_until > now:
-            score += 2 * STALL_PENALTY
-        return score + min(mean, 1.0)
+            score += SET_ASIDE_PENALTY
+        return score
 
 
 def create_policy(name: str, rng: random.Random) -> RoutingPolicy:
--- a/tarragonlift/core/seats.py
+++ b/tarragonlift/core/seats.py
@@ -17,7 +17,7 @@
 
 import attrs
 
-from tarragonlift.core import claims
+from tarragonlift.core import doors
 
 SEAT_PREFIX = "seat/"
 LEASE_SECONDS = 10.0
@@ -25,8 +25,8 @@
 RENEW_SECONDS = 4.0
 PROBE_SECONDS = 1.0
 
-Operation = claims.Operation
-Row = claims.Row
+Operation = doors.Operation
+Row = doors.Row
 
 
 @attrs.define
