Check every fault at every step against the nine promises

Cause: no proof under faults existed. Causes found: a returned loan carried successes of an earlier start; a server that was being warmed kept its successes when its connections ended; the scenario itself took a leaving server back into the list of hosts, and counted a server that loses its warmth without restart as freshly started. Change: loans name the start they belong to; lost connections make a server unknown, one answer of the same start makes it warm again; one idle connection to each warm server tells of a restart; an isolated daemon takes no work; nearly warm servers come first; a failing timer stops no other.

--- a/tarragonlift/components/daemon/__init__.py
+++ b/tarragonlift/components/daemon/__init__.py
@@ -144,7 +144,7 @@
             self._stopping_since is None
             and self._balancer.version > 0
             and self._hosts.listed
-            and self._balancer.membership.is_settled(time.monotonic())
+            and self._balancer.has_settled
         )
 
     def _on_signal(self, number: int, frame: Any) -> None:
--- a/tarragonlift/components/data_centres/__init__.py
+++ b/tarragonlift/components/data_centres/__init__.py
@@ -44,6 +44,7 @@
         def done(rows: list[doors.Row] | exceptions.PlatformError) -> None:
             if isinstance(rows, exceptions.PlatformError):
                 return
+            self._balancer.membership.on_store_answer(self._loop.now())
             self.synced = True
             self._merge(rows)
             self._write_newer(rows)
--- a/tarragonlift/components/data_path/connections.py
+++ b/tarragonlift/components/data_path/connections.py
@@ -55,13 +55,28 @@
         connection.active_at = time.monotonic()
         idle.append(connection)
 
-    def sweep(self, now: float) -> None:
-        """Close connections that were idle for long."""
+    def sweep(self, now: float, kept: set[models.Address]) -> None:
+        """Close connections that were idle for long.
+
+        One connection to each of the ``kept`` servers stays open, or is
+        opened: its end tells that the server may have restarted.
+        """
         for address, idle in list(self._idle.items()):
-            while idle and _is_old(idle[0], now):
+            least = 1 if address in kept else 0
+            while len(idle) > least and _is_old(idle[0], now):
                 idle.popleft().abandon()
             if not idle:
                 del self._idle[address]
+        for address in kept:
+            if address not in self._idle:
+                self._open(address)
+
+    def _open(self, address: models.Address) -> None:
+        """Open a connection that waits for a request."""
+        connection = self.take(address)
+        if connection is not None:
+            idle = self._idle.setdefault(address, collections.deque())
+            idle.append(connection)
 
     def close(self) -> None:
         """Close all idle connections."""
--- a/tarragonlift/components/data_path/poller.py
+++ b/tarragonlift/components/data_path/poller.py
@@ -91,7 +91,7 @@
         while True:
             self._serve(self._poller.poll(self._wait_seconds(until, now)))
             now = time.monotonic()
-            self._timers.run(now)
+            self._timers.run(now, self._on_error)
             self._run_deferred()
             self._flush()
             if now >= until or len(self.root):
--- a/tarragonlift/components/data_path/server.py
+++ b/tarragonlift/components/data_path/server.py
@@ -260,21 +260,29 @@
 
     def _check_queues(self, now: float) -> None:
         """Serve queues also when nothing ends: servers become usable."""
-        for name, pool in list(self._balancer.pools.items()):
-            if len(pool.queue):
-                self._serve_queue(name)
         self._poller.timers.call_at(
             now + QUEUE_CHECK_SECONDS, self._check_queues
         )
+        for name, pool in list(self._balancer.pools.items()):
+            if len(pool.queue):
+                self._serve_queue(name)
 
     def _sweep(self, now: float) -> None:
         """Look after timeouts."""
+        self._poller.timers.call_at(now + const.SWEEP_SECONDS, self._sweep)
         for connection in list(self._callers):
             connection.check_timeouts(now)
         for exchange in list(self._exchanges.values()):
             exchange.check_stalled(now)
-        self._connections.sweep(now)
-        self._poller.timers.call_at(now + const.SWEEP_SECONDS, self._sweep)
+        kept = {
+            one.instance.address
+            for pool in self._balancer.pools.values()
+            for one in pool.backends
+            if one.is_usable
+            and one.share
+            and one.warmth is core_const.Warmth.WARM
+        }
+        self._connections.sweep(now, kept)
 
     def _on_accept(self, sock: socket.socket, peer: tuple[str, int]) -> None:
         """Serve a new connection."""
--- a/tarragonlift/components/data_path/timers.py
+++ b/tarragonlift/components/data_path/timers.py
@@ -31,8 +31,14 @@
             return most
         return min(most, max(0.0, self._heap[0][0] - now))
 
-    def run(self, now: float) -> None:
-        """Call the functions that are due."""
+    def run(
+        self, now: float, on_error: abc.Callable[[BaseException], None]
+    ) -> None:
+        """Call the functions that are due; one that fails stops no other."""
         heap = self._heap
         while heap and heap[0][0] <= now:
-            heapq.heappop(heap)[2](now)
+            function = heapq.heappop(heap)[2]
+            try:
+                function(now)
+            except Exception as error:
+                on_error(error)
--- a/tarragonlift/components/logs/__init__.py
+++ b/tarragonlift/components/logs/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import sys
+import traceback
 from typing import Any
 from typing import TextIO
 
@@ -27,10 +28,12 @@
 
 def log_error(error: BaseException, **fields: Any) -> None:
     """Log an error by its type."""
+    place = traceback.extract_tb(error.__traceback__)[-1:]
     eliot.log_message(
         MESSAGE_ERROR,
         error=type(error).__name__,
         reason=str(error),
+        place=[f"{one.filename}:{one.lineno}" for one in place],
         **fields,
     )
 
--- a/tarragonlift/core/backend.py
+++ b/tarragonlift/core/backend.py
@@ -22,7 +22,9 @@
     shares of all daemons add up to at most the limit of the service. A cold
     server gets work only from the daemon that has the duty to warm it, before
     ``warm_until``: ``cold_limit`` requests at once at first, growing with each
-    success up to ``slots``.
+    success up to ``slots``. ``warm_start_id`` is the start that was shown to
+    be warm: where only the connections were lost, one answer of the same
+    start is enough.
     """
 
     instance: models.Instance
@@ -34,6 +36,7 @@
     started: int = 0
     warmth: const.Warmth = const.Warmth.COLD
     start_id: str = ""
+    warm_start_id: str = ""
     leaving: bool = False
     listed_leaving: bool = False
     data_centre_out: bool = False
--- a/tarragonlift/core/balancer.py
+++ b/tarragonlift/core/balancer.py
@@ -68,6 +68,7 @@
         self._instances: tuple[models.Instance, ...] = ()
         self._members: tuple[list[str], list[str]] = ([], [])
         self._number = 0
+        self._has_settled = False
         self.replica = replica.Replica(identity.daemon, epoch)
         self.membership = membership.Membership(identity.daemon, epoch)
         self.duties = warming.WarmingDuties(identity.daemon, self.membership)
@@ -81,6 +82,11 @@
         """Return who this daemon is."""
         return self._identity
 
+    @property
+    def has_settled(self) -> bool:
+        """Return whether this daemon has found its place once."""
+        return self._has_settled
+
     def set_addresses(self, address: str, admin_address: str) -> None:
         """Take the addresses that the kernel gave."""
         self._identity = attrs.evolve(
@@ -150,6 +156,7 @@
         """Do what is due several times a second; return loan messages."""
         self.membership.tick(now)
         self._follow_members(now)
+        self._has_settled |= self.duties.is_settled(now)
         self.duties.refresh(self._all_backends(), now)
         messages: list[warming.LoanMessage] = []
         for pool in self._pools.values():
@@ -217,7 +224,7 @@
     ) -> call_module.Call:
         """Return the call for a request, or raise a Refusal."""
         configuration = self._configuration
-        if configuration is None:
+        if configuration is None or self.membership.is_isolated(now):
             raise exceptions.Stopping(const.Outcome.NOT_RUN)
         service = configuration.service_for(head.host, head.path)
         if service is None:
@@ -296,8 +303,22 @@
         """A backend server closed its connections: it may have restarted."""
         for pool in self._pools.values():
             one = pool.find(str(address))
-            if one is not None and one.warmth is const.Warmth.WARM:
-                self.set_cold(one, wall_time)
+            if one is not None:
+                self._set_unknown(pool, one, wall_time)
+
+    def _set_unknown(
+        self,
+        pool: pool_module.ServicePool,
+        one: pool_module.Backend,
+        wall_time: float,
+    ) -> None:
+        """Treat a server that may have restarted as cold; tell the others."""
+        was_warm = one.warmth is const.Warmth.WARM
+        pool.set_unknown(one)
+        if was_warm:
+            self._tell(one, RANK_COLD)
+            detail = "connections lost"
+            self.note(const.EVENT_BACKEND_COLD, one.key, detail, wall_time)
 
     def on_warm(self, key: str) -> None:
         """Tell the others that a backend server is warm."""
@@ -483,9 +504,9 @@
             one.leaving = bool(item.value["leaving"])
             warm = item.value["warmth"] == const.Warmth.WARM.value
             if warm:
-                one.warmth = const.Warmth.WARM
+                pool.set_warm(one)
             elif one.warmth is const.Warmth.WARM:
-                pool.set_cold(one)
+                pool.set_unknown(one)
 
     def _tell(self, one: pool_module.Backend, rank: int) -> None:
         """Tell the others what this daemon knows of a backend server."""
--- a/tarragonlift/core/membership.py
+++ b/tarragonlift/core/membership.py
@@ -21,6 +21,7 @@
 FRESH_SECONDS = 2.0
 SETTLE_SECONDS = 3.0
 PAUSE_SECONDS = 1.0
+ISOLATED_SECONDS = 3.0
 GONE_SECONDS = 60.0
 BEATS_MOST = 32
 
@@ -48,6 +49,7 @@
         self._members: dict[str, _Member] = {daemon: _Member()}
         self._left: dict[str, int] = {}
         self._ticked_at = -math.inf
+        self._store_at = -math.inf
         self._steady_since = math.inf
 
     @property
@@ -145,9 +147,23 @@
         )
         return 2 * fresh > len(self._members)
 
+    def on_store_answer(self, now: float) -> None:
+        """Note that the platform's table was reached."""
+        self._store_at = now
+
     def is_isolated(self, now: float) -> bool:
-        """Return whether no other daemon was heard lately."""
-        return len(self._members) > 1 and self.alive(now) == [self._daemon]
+        """Return whether neither a daemon nor the table was heard lately.
+
+        Such a daemon can't know which data centres are out.
+        """
+        if len(self._members) == 1:
+            return False
+        heard_at = max(
+            member.heard_at
+            for name, member in self._members.items()
+            if name != self._daemon
+        )
+        return now - max(heard_at, self._store_at) > ISOLATED_SECONDS
 
     def _forget_gone(self, now: float) -> list[str]:
         """Drop the daemons that are gone; return their names."""
--- a/tarragonlift/core/pool.py
+++ b/tarragonlift/core/pool.py
@@ -172,13 +172,24 @@
             return False
         one.warmth = const.Warmth.WARMING
         one.successes += 1
-        if one.successes < one.warm_after:
+        known = bool(one.start_id) and one.start_id == one.warm_start_id
+        if one.successes < one.warm_after and not known:
             return False
-        one.warmth = const.Warmth.WARM
+        self.set_warm(one)
         return True
 
+    def set_warm(self, one: Backend) -> None:
+        """Take the backend server as warm."""
+        one.warmth = const.Warmth.WARM
+        one.warm_start_id = one.start_id
+
     def set_cold(self, one: Backend) -> None:
         """Start to warm the backend server from the beginning."""
+        self.set_unknown(one)
+        one.warm_start_id = ""
+
+    def set_unknown(self, one: Backend) -> None:
+        """Treat the server as cold until an answer shows the same start."""
         one.warmth = const.Warmth.COLD
         one.successes = 0
 
--- a/tarragonlift/core/replica.py
+++ b/tarragonlift/core/replica.py
@@ -21,6 +21,9 @@
 KIND_MEMBER = "member"
 KIND_APPLIED = "applied"
 
+# Few items that must reach a daemon which was away with the first message.
+KINDS_ALWAYS = frozenset((KIND_CONFIGURATION, KIND_DATA_CENTRE))
+
 HOT_ROUNDS = 6
 SLICE_ITEMS = 8
 
@@ -122,9 +125,12 @@
 
     def next_items(self) -> tuple[Item, ...]:
         """Return the items for the next message: news and a slice."""
-        items = [self._items[key] for key in self._take_hot()]
-        items.extend(self._next_slice())
-        return tuple(items)
+        keys = dict.fromkeys(self._take_hot())
+        keys.update(
+            (key, None) for key in self._items if key[0] in KINDS_ALWAYS
+        )
+        keys.update((item.key, None) for item in self._next_slice())
+        return tuple(self._items[key] for key in keys)
 
     def drop(self, kind: str, name: str) -> None:
         """Forget an item here; others may still tell of it."""
--- a/tarragonlift/core/routing.py
+++ b/tarragonlift/core/routing.py
@@ -7,6 +7,7 @@
 import random
 
 from tarragonlift.core import backend as backend_module
+from tarragonlift.core import const
 
 POLICY_LEAST_IN_FLIGHT = "least-in-flight"
 POLICY_LEAST_REPORTED = "least-reported"
@@ -16,6 +17,7 @@
 
 SILENCE_USUAL = 2.0
 SET_ASIDE_PENALTY = 8.0
+WARMING_BONUS = 0.45
 
 Backend = backend_module.Backend
 Candidates = collections_abc.Sequence[Backend]
@@ -118,6 +120,10 @@
         score += max(0.0, one.silence(now) - SILENCE_USUAL)
         if one.set_aside_until > now:
             score += SET_ASIDE_PENALTY
+        if one.warmth is not const.Warmth.WARM:
+            # An idle server that is being warmed comes first, and of several
+            # the one that is nearly warm, so that all can use it soon.
+            score -= WARMING_BONUS * (1 + one.successes / one.warm_after)
         return score
 
 
--- a/tarragonlift/core/warming.py
+++ b/tarragonlift/core/warming.py
@@ -49,6 +49,7 @@
 
     server: str
     borrower: str
+    start_id: str
     successes: int
 
 
@@ -87,6 +88,11 @@
             self._places_since = now
             self._first.clear()
 
+    def is_settled(self, now: float) -> bool:
+        """Return whether the members did not change for a while."""
+        settled_at = self._places_since + membership_module.SETTLE_SECONDS
+        return self._membership.is_settled(now) and now >= settled_at
+
     def warmer(self, one: Backend) -> str:
         """Return the daemon that comes first for a server."""
         first = self._first.get(one.key)
@@ -135,7 +141,8 @@
             return False
         self._borrowed[one.key] = until
         one.warm_until = until
-        one.successes = message.successes
+        same = message.start_id == one.start_id
+        one.successes = message.successes if same else 0
         return True
 
     def returns(self, one: Backend, now: float) -> Return | None:
@@ -144,7 +151,7 @@
         if until is None or now < until or one.in_flight > 0:
             return None
         del self._borrowed[one.key]
-        return Return(one.key, self._daemon, one.successes)
+        return Return(one.key, self._daemon, one.start_id, one.successes)
 
     def on_return(self, message: Return, one: Backend | None) -> None:
         """Take a duty back."""
@@ -152,7 +159,9 @@
         if loan is None or loan.borrower != message.borrower:
             return
         del self._lent[message.server]
-        if one is not None and one.warmth is not const.Warmth.WARM:
+        if one is None or one.warmth is const.Warmth.WARM:
+            return
+        if one.start_id == message.start_id:
             one.successes = max(one.successes, message.successes)
 
     def _refresh_one(self, one: Backend, steady: bool, now: float) -> None:
--- a/tarragonlift_lab/cli.py
+++ b/tarragonlift_lab/cli.py
@@ -14,6 +14,8 @@
 from tarragonlift.helpers import jsonc
 from tarragonlift_lab import bench as bench_module
 from tarragonlift_lab import demo as demo_module
+from tarragonlift_lab import faults as faults_module
+from tarragonlift_lab import faults_report
 from tarragonlift_lab import http
 from tarragonlift_lab import platform as platform_module
 from tarragonlift_lab import plots
@@ -143,6 +145,29 @@
         plots.plot_policies(results, plot)
 
 
+@app.command()
+def faults(
+    pairs: Annotated[
+        bool, typer.Option("--pairs", help="Two faults at a time.")
+    ] = False,
+    seed: int = 1,
+    count: Annotated[int, typer.Option(help="How many pairs.")] = 200,
+    json_file: Annotated[
+        pathlib.Path | None, typer.Option("--json", help="File for results.")
+    ] = None,
+) -> None:
+    """Run the fault matrix and print which promises held."""
+    plans = faults_module.single_plans(seed)
+    if pairs:
+        plans = faults_module.pair_plans(seed, count)
+    report = faults_report.run(plans)
+    print(faults_report.describe(report))
+    if json_file is not None:
+        json_file.write_text(json.dumps(report.to_document(), indent=2))
+    if report.failures:
+        raise typer.Exit(1)
+
+
 def _cases(
     experiment: pathlib.Path | None,
     policies: list[str] | None,
--- a/tarragonlift_lab/demo.py
+++ b/tarragonlift_lab/demo.py
@@ -39,6 +39,7 @@
       "cold_limit": 2,
       "warm_after": 60,
       "caller_header": "Caller",
+      "queue_length": 256,
       // Orders run once; everything else may be sent again.
       "rules": [
         {"methods": ["POST"], "path_prefix": "/orders", "run": "once"}
@@ -55,7 +56,7 @@
 }
 """
 OVERLAYS = {
-    "haskovo": '{"services": {"ordering": {"queue_length": 128}}}\n',
+    "haskovo": '{"services": {"ordering": {"queue_length": 512}}}\n',
 }
 
 
@@ -216,6 +217,7 @@
     await _move_data_centre(site, seconds, facts)
     await _stop_daemon(site, load, seconds, facts)
     result = await running
+    facts["errors_logged"] = site.processes.errors_logged()
     facts["rss_mb"] = {
         one.name: round(one.memory_mb()["rss"], 1)
         for one in site.daemons
@@ -333,6 +335,7 @@
         "uploads_lost",
         "cut_by_shutdown",
         "collapses",
+        "errors_logged",
         "stop_status",
     )
     broken = [name for name in zero if figures[name] != 0]
--- /dev/null
+++ b/tarragonlift_lab/faults.py
@@ -0,0 +1,509 @@
+"""The fault matrix: every fault at every step, checked for every promise."""
+
+from __future__ import annotations
+
+from collections import abc
+import functools
+import itertools
+import json
+from typing import Any
+
+import attrs
+
+from tarragonlift import config
+from tarragonlift.core import const
+from tarragonlift.core import models
+from tarragonlift import exceptions
+from tarragonlift_lab import node as node_module
+from tarragonlift_lab import promises
+from tarragonlift_lab import world as world_module
+
+PLACES = ("plovdiv", "haskovo")
+LOAD_FROM = 5.0
+FAULTS_FROM = 6.5
+LOAD_UNTIL = 20.0
+END = 60.0
+CALLS_A_SECOND = 30.0
+ORDERS_SHARE = 0.4
+TIMEOUT_SECONDS = 5.0
+RESEND_SECONDS = 1.0
+RESENDS_MOST = 3
+PAUSE_SECONDS = 8.0
+STORE_DOWN_SECONDS = 6.0
+CUT_SECONDS = 8.0
+SERVER_DOWN_SECONDS = 0.3
+
+BASE = json.dumps(
+    {
+        "data_centres": list(PLACES),
+        "services": {
+            "ordering": {
+                "limit": 12,
+                "slots": 6,
+                "cold_limit": 2,
+                "warm_after": 60,
+                "deadline_ms": 5000,
+                "rules": [
+                    {"methods": ["POST"], "path_prefix": "/", "run": "once"}
+                ],
+            }
+        },
+    }
+)
+
+STEPS = (
+    "receive",
+    "claim",
+    "choose",
+    "connect",
+    "send",
+    "wait",
+    "read",
+    "record",
+    "answer",
+    "push",
+    "accept",
+    "spread",
+    "out",
+    "back",
+    "join",
+    "warm",
+    "drain",
+    "leave",
+)
+
+
+@attrs.frozen
+class Plan:
+    """Which faults happen at which steps in a run."""
+
+    seed: int
+    injections: tuple[tuple[str, str], ...] = ()
+
+    def describe(self) -> str:
+        """Return the plan as text."""
+        pairs = " + ".join(
+            f"{fault}@{step}" for step, fault in self.injections
+        )
+        return f"seed {self.seed}: {pairs or 'no fault'}"
+
+
+class Trial:
+    """One run of the scenario with its faults."""
+
+    def __init__(self, plan: Plan) -> None:
+        """Build the world; ``run`` lets it happen."""
+        self.plan = plan
+        self.world = world_module.World(plan.seed)
+        self.platform = world_module.FakePlatform(self.world)
+        self.network = node_module.Network(self.world)
+        self.callers: list[node_module.Caller] = []
+        self.nodes: list[node_module.Node] = []
+        self.events: list[tuple[float, str]] = []
+        self.out_at: list[tuple[str, float, float]] = []
+        self.accepted: list[tuple[int, float]] = []
+        # Daemons that were paused or cut off at some time.
+        self.unreachable: set[str] = set()
+        self._pending = dict(plan.injections)
+        self._numbers = itertools.count(1)
+        self._last: tuple[node_module.Node | None, Any] = (None, None)
+        for number in range(4):
+            place = PLACES[number % 2]
+            address = models.Address("server", number + 1)
+            self._add_server(models.Instance("ordering", address, place))
+        self.platform.hosts = [
+            server.instance for server in self.network.servers.values()
+        ]
+        for number in range(3):
+            self.add_node(f"entry-{number}", PLACES[number % 2])
+
+    def run(self) -> list[promises.Broken]:
+        """Let everything happen; return which promises fell."""
+        at = self.world.call_at
+        at(0.5, functools.partial(self.push, 0))
+        self._schedule_load()
+        at(8.0, functools.partial(self.push, 1))
+        at(8.0, functools.partial(self.push, 2))
+        at(9.0, self._restart_server)
+        at(10.0, functools.partial(self.move, PLACES[1], True))
+        at(15.0, functools.partial(self.move, PLACES[1], False))
+        at(12.0, self._drain_server)
+        at(13.0, self._join)
+        at(16.0, self._leave)
+        self.world.run_until(END)
+        return promises.check(self)
+
+    def add_node(self, name: str, place: str) -> node_module.Node:
+        """Start a daemon."""
+        node = node_module.Node(
+            self.network, self.platform, name, place, self.on_step
+        )
+        self.nodes.append(node)
+        return node
+
+    def live_nodes(self) -> list[node_module.Node]:
+        """Return the daemons that were not killed."""
+        return [one for one in self.nodes if not one.process.killed]
+
+    def on_step(
+        self,
+        step: str,
+        node: node_module.Node | None,
+        exchange: node_module.Exchange | None,
+    ) -> None:
+        """Inject the fault that is planned for this step, once."""
+        self._last = (node, exchange)
+        if self.world.now < FAULTS_FROM:
+            return
+        fault = self._pending.pop(step, None)
+        if fault is not None:
+            self.note(f"fault {fault} at {step}")
+            INJECTORS[fault](self, node, exchange)
+
+    def note(self, text: str) -> None:
+        """Keep an event for the trace."""
+        self.events.append((round(self.world.now, 4), text))
+
+    def push(self, number: int) -> None:
+        """An operator pushes a configuration through some daemon."""
+        live = self.live_nodes()
+        node = live[number % len(live)]
+        version = node.balancer.version
+        bundle = config.Bundle(BASE, {PLACES[0]: json.dumps({})})
+        if number:
+            changed = json.loads(BASE)
+            service = changed["services"]["ordering"]
+            service["queue_length"] = 64 + number
+            bundle = config.Bundle(json.dumps(changed), {})
+        self.on_step("push", node, None)
+
+        def done(result: int | exceptions.TarragonliftError) -> None:
+            self.note(f"push {number}: {result!r}")
+            if isinstance(result, int):
+                self.accepted.append((result, self.world.now))
+                self.on_step("accept", node, None)
+
+        node.configuration.push(
+            f"push-{number}", bundle, f"operator-{number}", version, done
+        )
+
+    def move(self, place: str, out: bool) -> None:
+        """An operator takes a data centre out or back."""
+        self.on_step("out" if out else "back", self.nodes[0], None)
+        live = self.live_nodes()
+        node = live[0]
+        state = const.DataCentreState.OUT
+        if not out:
+            state = const.DataCentreState.IN_SERVICE
+        now = self.world.now
+        node.balancer.set_data_centre(place, state, node.process.wall_time())
+        node.peers.spread_news()
+        node.data_centres.sync()
+        self.note(f"{place} {state.value}")
+        if out:
+            self.out_at.append((place, now, float("inf")))
+        elif self.out_at:
+            self.out_at[-1] = (*self.out_at[-1][:2], now)
+
+    def _add_server(self, instance: models.Instance) -> None:
+        """Start a backend server."""
+        server = world_module.FakeServer(
+            self.world, instance, world_module.ServerModel()
+        )
+        self.network.servers[str(instance.address)] = server
+
+    def _schedule_load(self) -> None:
+        """Let callers come at random times."""
+        when = LOAD_FROM
+        while when < LOAD_UNTIL:
+            when += self.world.rng.expovariate(CALLS_A_SECOND)
+            once = self.world.rng.random() < ORDERS_SHARE
+            self.world.call_at(when, functools.partial(self._call, once))
+
+    def _call(self, once: bool, key: str = "", resends: int = 0) -> None:
+        """A caller sends a request, and sends it again where told to."""
+        nonce = f"n{next(self._numbers)}"
+        key = key or (f"k-{nonce}" if once else "")
+        ready = [one for one in self.live_nodes() if one.ready]
+        if not ready:
+            return
+        node = self.world.rng.choice(ready)
+        caller = node_module.Caller(nonce, key, self.world.now)
+        self.callers.append(caller)
+
+        def ended(one: node_module.Caller) -> None:
+            good = one.whole or one.outcome == "ran"
+            if once and not good and resends < RESENDS_MOST:
+                self.world.call_later(
+                    RESEND_SECONDS,
+                    functools.partial(self._call, True, key, resends + 1),
+                )
+
+        caller.done = ended
+        node.process.deliver(
+            lambda: node.request(caller, once, TIMEOUT_SECONDS)
+        )
+
+    def _server(self, number: int) -> world_module.FakeServer:
+        """Return a server by its number."""
+        return list(self.network.servers.values())[number]
+
+    def _restart_server(self) -> None:
+        """A server restarts and is cold."""
+        self.on_step("warm", self.nodes[0], None)
+        self._server(0).restart(SERVER_DOWN_SECONDS)
+        self.note("server 0 restarts")
+
+    def _drain_server(self) -> None:
+        """A server starts to leave."""
+        self.on_step("drain", self.nodes[0], None)
+        server = self._server(2)
+        server.draining_since = self.world.now
+        self.note("server 2 drains")
+        self.platform.set_hosts(
+            [
+                attrs.evolve(
+                    one.instance,
+                    leaving=one.draining_since <= self.world.now,
+                )
+                for one in self.network.servers.values()
+            ]
+        )
+
+    def _join(self) -> None:
+        """A daemon joins."""
+        self.on_step("join", self.nodes[0], None)
+        self.add_node("entry-3", PLACES[1])
+        self.note("entry-3 joins")
+
+    def _leave(self) -> None:
+        """A daemon is stopped gracefully."""
+        node = self.nodes[1]
+        self.on_step("leave", node, None)
+        if not node.process.killed:
+            node.leave()
+            self.note(f"{node.name} leaves")
+
+
+Injector = abc.Callable[
+    [Trial, "node_module.Node | None", "node_module.Exchange | None"], None
+]
+
+
+def _target(
+    trial: Trial, exchange: node_module.Exchange | None
+) -> world_module.FakeServer:
+    """Return the server of the exchange, or some server."""
+    if exchange is not None and exchange.jobs:
+        return next(iter(exchange.jobs.values()))[0]
+    servers = list(trial.network.servers.values())
+    return trial.world.rng.choice(servers)
+
+
+def _slow_server(trial: Trial, node: Any, exchange: Any) -> None:
+    """The server is slow for some seconds."""
+    _target(trial, exchange).slow_until = trial.world.now + 3.0
+
+
+def _drain(trial: Trial, node: Any, exchange: Any) -> None:
+    """The server starts to leave, and refuses new work."""
+    server = _target(trial, exchange)
+    server.draining_since = min(server.draining_since, trial.world.now)
+
+
+def _leave_silently(trial: Trial, node: Any, exchange: Any) -> None:
+    """The server starts to leave; only the list of hosts tells."""
+    server = _target(trial, exchange)
+    server.refuses_when_draining = False
+    server.draining_since = min(server.draining_since, trial.world.now)
+    trial.platform.set_hosts(
+        [
+            attrs.evolve(
+                one.instance, leaving=one.draining_since <= trial.world.now
+            )
+            for one in trial.network.servers.values()
+        ]
+    )
+
+
+def _fail_fast(trial: Trial, node: Any, exchange: Any) -> None:
+    """The server refuses everything for a while."""
+    _target(trial, exchange).fails_fast_until = trial.world.now + 2.0
+
+
+def _turn_cold(trial: Trial, node: Any, exchange: Any) -> None:
+    """The server is cold again without notice.
+
+    It is not freshly started any more: nothing tells a daemon before the
+    first slow answer, so the check of fresh servers does not count it.
+    """
+    server = _target(trial, exchange)
+    server.served = 0
+    server.fresh = False
+
+
+def _crash(trial: Trial, node: Any, exchange: Any) -> None:
+    """The server crashes and starts anew."""
+    server = _target(trial, exchange)
+    trial.world.call_later(
+        0.0, functools.partial(server.restart, SERVER_DOWN_SECONDS)
+    )
+
+
+def _late(trial: Trial, node: Any, exchange: Any) -> None:
+    """The server's next answers come late."""
+    _target(trial, exchange).late_answers += 2
+
+
+def _cut_answer(trial: Trial, node: Any, exchange: Any) -> None:
+    """The server's next answers are cut short."""
+    _target(trial, exchange).cuts_answers += 2
+
+
+def _store_down(trial: Trial, node: Any, exchange: Any) -> None:
+    """The store is down for a while."""
+    faults = trial.platform.faults
+    faults.down = True
+    trial.world.call_later(
+        STORE_DOWN_SECONDS, lambda: setattr(faults, "down", False)
+    )
+
+
+def _store_slow(trial: Trial, node: Any, exchange: Any) -> None:
+    """The store is slow for a while, beyond every timeout."""
+    faults = trial.platform.faults
+    faults.slow_seconds = 1.5
+    trial.world.call_later(
+        STORE_DOWN_SECONDS, lambda: setattr(faults, "slow_seconds", 0.0)
+    )
+
+
+def _lose_answers(trial: Trial, node: Any, exchange: Any) -> None:
+    """The answers to the next writes are lost."""
+    trial.platform.faults.lose_answers += 3
+
+
+def _pause(trial: Trial, node: Any, exchange: Any) -> None:
+    """The daemon is paused."""
+    victim = node or trial.nodes[0]
+    victim.process.paused_until = trial.world.now + PAUSE_SECONDS
+    trial.unreachable.add(victim.name)
+
+
+def _kill(trial: Trial, node: Any, exchange: Any) -> None:
+    """The daemon is killed."""
+    if len(trial.live_nodes()) > 1:
+        victim = node or trial.nodes[0]
+        victim.kill()
+
+
+def _replace(trial: Trial, node: Any, exchange: Any) -> None:
+    """The daemon is killed, and a new one takes its name."""
+    victim = node or trial.nodes[0]
+    victim.kill()
+    place = victim.balancer.identity.data_centre
+    trial.world.call_later(
+        1.0, functools.partial(trial.add_node, victim.name, place)
+    )
+
+
+def _cut_peers(trial: Trial, node: Any, exchange: Any) -> None:
+    """The daemon and its peers do not reach one another for a while."""
+    victim = node or trial.nodes[0]
+    trial.network.cut.add(victim.name)
+    trial.world.call_later(
+        CUT_SECONDS, lambda: trial.network.cut.discard(victim.name)
+    )
+
+
+def _isolate(trial: Trial, node: Any, exchange: Any) -> None:
+    """The daemon reaches neither its peers nor the store for a while."""
+    victim = node or trial.nodes[0]
+    _cut_peers(trial, victim, exchange)
+    trial.platform.cut.add(victim.process)
+    trial.unreachable.add(victim.name)
+    trial.world.call_later(
+        CUT_SECONDS, lambda: trial.platform.cut.discard(victim.process)
+    )
+
+
+def _hosts_lag(trial: Trial, node: Any, exchange: Any) -> None:
+    """The list of hosts lags more."""
+    trial.platform.faults.hosts_lag_seconds = 2.5
+
+
+def _race(trial: Trial, node: Any, exchange: Any) -> None:
+    """Two more operators push at once."""
+    trial.push(3)
+    trial.push(4)
+
+
+def _caller_gone(trial: Trial, node: Any, exchange: Any) -> None:
+    """The caller closes its connection."""
+    if exchange is not None and exchange.caller is not None:
+        caller = exchange.caller
+        trial.world.call_later(0.0, exchange.caller_gone)
+        trial.world.call_later(0.0, lambda: caller.end(trial.world.now))
+
+
+def _resend(trial: Trial, node: Any, exchange: Any) -> None:
+    """The caller sends the same request again, to any daemon."""
+    if exchange is not None and exchange.call.request.run is const.Run.ONCE:
+        trial._call(True, exchange.call.request.key, RESENDS_MOST)
+
+
+INJECTORS: dict[str, Injector] = {
+    "server-slow": _slow_server,
+    "server-drains": _drain,
+    "server-leaves-silently": _leave_silently,
+    "server-fails-fast": _fail_fast,
+    "server-turns-cold": _turn_cold,
+    "server-crashes": _crash,
+    "answer-late": _late,
+    "answer-cut": _cut_answer,
+    "store-down": _store_down,
+    "store-slow": _store_slow,
+    "store-answers-lost": _lose_answers,
+    "daemon-paused": _pause,
+    "daemon-killed": _kill,
+    "daemon-replaced": _replace,
+    "peers-cut": _cut_peers,
+    "daemon-isolated": _isolate,
+    "hosts-lag": _hosts_lag,
+    "operators-race": _race,
+    "caller-gone": _caller_gone,
+    "caller-resends": _resend,
+}
+
+
+def single_plans(seed: int) -> abc.Iterator[Plan]:
+    """Return a plan for every fault at every step."""
+    yield Plan(seed)
+    for step in STEPS:
+        for fault in INJECTORS:
+            yield Plan(seed, ((step, fault),))
+
+
+def pair_plans(seed: int, count: int) -> abc.Iterator[Plan]:
+    """Return plans with two faults at two steps, by seed."""
+    rng = world_module.random.Random(seed)
+    for number in range(count):
+        steps = rng.sample(STEPS, 2)
+        faults = rng.choices(list(INJECTORS), k=2)
+        pairs = tuple(zip(steps, faults, strict=True))
+        yield Plan(seed + number, pairs)
+
+
+def run_plan(plan: Plan) -> list[promises.Broken]:
+    """Run one plan; return which promises fell."""
+    return Trial(plan).run()
+
+
+def shrink(plan: Plan, promise: str) -> Plan:
+    """Return the smallest part of a plan that still breaks the promise."""
+    for count in range(len(plan.injections)):
+        for part in itertools.combinations(plan.injections, count):
+            smaller = attrs.evolve(plan, injections=part)
+            if any(one.promise == promise for one in run_plan(smaller)):
+                return smaller
+    return plan
--- a/tarragonlift_lab/processes.py
+++ b/tarragonlift_lab/processes.py
@@ -131,6 +131,16 @@
         command = [sys.executable, "-m", "tarragonlift", "serve"]
         return self.start(name, [*command, "--settings", str(path)])
 
+    def errors_logged(self) -> int:
+        """Return how many errors the daemons logged, and show them."""
+        found = 0
+        for log in sorted(self._folder.glob("*.log")):
+            for line in log.read_text(encoding="utf-8").splitlines():
+                if "tarragonlift:error" in line or "Traceback" in line:
+                    found += 1
+                    print(f"{log.name}: {line}", file=sys.stderr)
+        return found
+
     def end_all(self) -> None:
         """End every process that still runs."""
         for process in self._all:
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -25,7 +25,7 @@
         other = config.build(bundle, "haskovo").service("ordering")
         assert base is not None
         assert other is not None
-        assert (base.queue_length, other.queue_length) == (64, 128)
+        assert (base.queue_length, other.queue_length) == (256, 512)
         assert base.limit == other.limit == 12
 
     def test_every_error_is_told_at_its_place(self) -> None:
