--- a/tarragonlift/cli/app.py
+++ b/tarragonlift/cli/app.py
@@ -319,9 +319,26 @@
 ) -> None:
     """Change the state of a data centre and tell it."""
     daemon = client_module.ApiClient(api, token)
-    body = {"state": state.value, "force": force}
-    document = daemon.put(f"/v1/data-centres/{name}", body)
-    output.show(document, json_output, f"{name}: {document['state']}")
+    versions = {
+        one["name"]: one["version"]
+        for one in daemon.get("/v1/data-centres")["data_centres"]
+    }
+    body = {
+        "state": state.value,
+        "if_version": versions.get(name, 0),
+        "force": force,
+    }
+    document = daemon.wait(daemon.put(f"/v1/data-centres/{name}", body))
+    force = document["in_force"]
+    text = (
+        f"{name}: {document['state']}; in force on {force['confirmed']} of "
+        f"{force['daemons']} daemons"
+    )
+    if force["behind"]:
+        text += "; not yet on " + ", ".join(force["behind"])
+    if not force["in_table"]:
+        text += "; not yet in the platform's table"
+    output.show(document, json_output, text)
 
 
 def _keys(path: pathlib.Path) -> Any:
--- a/tarragonlift/components/admin/api.py
+++ b/tarragonlift/components/admin/api.py
@@ -30,6 +30,7 @@
     (exceptions.UnknownName, const.STATUS_NOT_FOUND),
     (exceptions.ConfigurationConflict, const.STATUS_CONFLICT),
     (exceptions.CapacityShort, const.STATUS_CONFLICT),
+    (exceptions.DataCentreConflict, const.STATUS_CONFLICT),
     (exceptions.NotAuthorized, const.STATUS_FORBIDDEN),
 )
 
--- a/tarragonlift/components/admin/handlers.py
+++ b/tarragonlift/components/admin/handlers.py
@@ -13,6 +13,7 @@
 from tarragonlift.components.admin import const
 from tarragonlift.components.admin import models
 from tarragonlift.components.configuration import const as configuration_const
+from tarragonlift.components import data_centres
 from tarragonlift import config
 from tarragonlift.core import const as core_const
 from tarragonlift.core import doors
@@ -33,6 +34,7 @@
         vol.Required("state"): vol.In(
             [state.value for state in core_const.DataCentreState]
         ),
+        vol.Required("if_version"): schema.NotNegative,
         vol.Optional("force", default=False): bool,
     }
 )
@@ -158,12 +160,32 @@
         state = core_const.DataCentreState(body["state"])
         if state is core_const.DataCentreState.OUT and not body["force"]:
             balancer.check_capacity_without(name)
-        item = balancer.set_data_centre(name, state, time.time())
+        item = balancer.set_data_centre(
+            name, state, body["if_version"], time.time()
+        )
         detail = f"{state.value} by {request.operator.name}"
         balancer.note(core_const.EVENT_DATA_CENTRE, name, detail, time.time())
         self._context.mesh.spread_news()
         self._context.data_centres.sync()
-        return Answer(const.STATUS_OK, _data_centre(name, item))
+        operation = self._begin()
+
+        def done(
+            found: data_centres.Confirmation | exceptions.NotConfirmed,
+        ) -> None:
+            if isinstance(found, exceptions.NotConfirmed):
+                _fail(operation, found)
+                return
+            force = {
+                "confirmed": len(found.confirmed),
+                "daemons": len(found.confirmed) + len(found.missing),
+                "behind": list(found.missing),
+                "in_table": found.in_table,
+            }
+            state = _data_centre(name, item)
+            _complete(operation, {**state, "in_force": force})
+
+        self._context.data_centres.confirm(item, done)
+        return Answer(const.STATUS_ACCEPTED, operation.to_document())
 
     def get_hosts(self, request: Request) -> Answer:
         """Return the daemons and the backend servers."""
--- a/tarragonlift/components/data_centres/__init__.py
+++ b/tarragonlift/components/data_centres/__init__.py
@@ -8,13 +8,32 @@
 
 from collections import abc
 
+import attrs
 from tarragonlift.core import balancer as balancer_module
 from tarragonlift.core import doors
 from tarragonlift.core import replica
+
 from tarragonlift import exceptions
 
 PREFIX = "data-centre/"
 SYNC_SECONDS = 2.0
+CONFIRM_SECONDS = 5.0
+CONFIRM_POLL_SECONDS = 0.05
+ADVICE_NOT_CONFIRMED = (
+    "only the daemon that was asked knows of the change; ask another daemon"
+)
+
+
+@attrs.frozen
+class Confirmation:
+    """Where a change of a data centre's state is in force."""
+
+    confirmed: tuple[str, ...]
+    missing: tuple[str, ...]
+    in_table: bool
+
+
+ConfirmCallback = abc.Callable[[Confirmation | exceptions.NotConfirmed], None]
 
 
 class DataCentreKeeper:
@@ -32,6 +51,7 @@
         self._balancer = balancer
         self._table = table
         self._on_changes = on_changes
+        self._in_table: dict[str, int] = {}
         self.synced = False
 
     def start(self) -> None:
@@ -51,6 +71,38 @@
 
         self._table.scan(PREFIX, done)
 
+    def confirm(self, item: replica.Item, callback: ConfirmCallback) -> None:
+        """Tell when a change is in force everywhere, or after a while where.
+
+        A change that only this daemon knows is not confirmed: it may be cut
+        off, and the operator should ask another daemon.
+        """
+        until = self._loop.now() + CONFIRM_SECONDS
+
+        def look(now: float) -> None:
+            found = self._confirmation(item, now)
+            known = len(self._balancer.membership.known)
+            is_kept = found.in_table or len(found.confirmed) > 1 or known == 1
+            if is_kept and (not found.missing or now >= until):
+                callback(found)
+            elif now < until:
+                self._loop.call_at(now + CONFIRM_POLL_SECONDS, look)
+            else:
+                callback(exceptions.NotConfirmed(ADVICE_NOT_CONFIRMED))
+
+        look(self._loop.now())
+
+    def _confirmation(self, item: replica.Item, now: float) -> Confirmation:
+        """Return where a state is in force now."""
+        balancer = self._balancer
+        alive = set(balancer.membership.alive(now))
+        confirmed = balancer.confirmed_by(item.name, item.version, now)
+        return Confirmation(
+            tuple(sorted(confirmed)),
+            tuple(sorted(alive - confirmed)),
+            self._in_table.get(item.name, 0) >= item.version,
+        )
+
     def _tick(self, now: float) -> None:
         """Synchronise once in a while."""
         self._loop.call_at(now + SYNC_SECONDS, self._tick)
@@ -59,6 +111,7 @@
     def _merge(self, rows: list[doors.Row]) -> None:
         """Take what the table knows."""
         items = [_item(row) for row in rows]
+        self._in_table = {item.name: item.version for item in items}
         if self._balancer.replica.merge(items):
             self._on_changes()
 
--- a/tarragonlift/components/peers/__init__.py
+++ b/tarragonlift/components/peers/__init__.py
@@ -8,13 +8,13 @@
 from tarragonlift.components.data_path import poller as poller_module
 from tarragonlift.components.peers import mesh
 from tarragonlift.core import balancer as balancer_module
-from tarragonlift.core import models
+from tarragonlift.core import models as core_models
 
 
 def create_mesh(
     poller: poller_module.DataPoller,
     balancer: balancer_module.Balancer,
-    seeds: abc.Sequence[models.Address],
+    seeds: abc.Sequence[core_models.Address],
     keys: abc.Callable[[], abc.Sequence[bytes]],
     rng: random.Random,
 ) -> mesh.Mesh:
--- a/tarragonlift/components/peers/mesh.py
+++ b/tarragonlift/components/peers/mesh.py
@@ -17,6 +17,7 @@
 from tarragonlift.core import hlc
 from tarragonlift.core import models as core_models
 from tarragonlift.core import replica
+from tarragonlift.core import rotation
 from tarragonlift.core import warming
 
 Address = core_models.Address
@@ -39,6 +40,7 @@
         self._seeds = list(seeds)
         self._keys = keys
         self._rng = rng
+        self._rotation: rotation.Rotation[Address] = rotation.Rotation(rng)
         self._listener: stream.Listener | None = None
         self._links: dict[Address, link.PeerLink] = {}
         self._accepted: set[link.PeerLink] = set()
@@ -140,9 +142,8 @@
         return sorted(found, key=str)
 
     def _choose(self) -> Address | None:
-        """Return a peer by chance."""
-        known = self._known()
-        return self._rng.choice(known) if known else None
+        """Return the next peer."""
+        return self._rotation.next(self._known())
 
     def _choose_some(self, count: int) -> list[Address]:
         """Return a few peers by chance."""
--- a/tarragonlift/core/backend.py
+++ b/tarragonlift/core/backend.py
@@ -43,6 +43,7 @@
     warm_until: float = -math.inf
     answer_seconds: float = 10.0
     successes: int = 0
+    resets: int = 0
     set_aside_until: float = 0.0
     answered_at: float = -math.inf
     busy_since: float = -math.inf
--- a/tarragonlift/core/balancer.py
+++ b/tarragonlift/core/balancer.py
@@ -26,6 +26,7 @@
 FAILURES_COLD = frozenset(
     (const.AttemptFailure.CONNECT_FAILED, const.AttemptFailure.SHED)
 )
+SERVERS_RANKED_A_TICK = 1
 RANK_OUT = 1
 RANK_COLD = 1
 RANK_LEAVING = 2
@@ -140,9 +141,7 @@
         self.seats.set_services(
             {one.name: one.probes for one in configuration.services}
         )
-        self.replica.put(
-            replica.KIND_APPLIED, self._identity.daemon, {"version": version}
-        )
+        self._tell_applied()
         kind = const.EVENT_CONFIGURATION_ADOPTED
         self.note(kind, str(version), "", wall_time)
         return True
@@ -164,8 +163,10 @@
                 want = self.duties.ask(one, now)
                 if want is not None:
                     messages.append(want)
-        for one in self._all_backends():
-            given_back = self.duties.returns(one, now)
+            pool.go_on_dividing(SERVERS_RANKED_A_TICK)
+        for key in self.duties.borrowed:
+            one = self.find_backend(key)
+            given_back = one and self.duties.returns(one, now)
             if given_back is not None:
                 messages.append(given_back)
         return messages
@@ -328,13 +329,29 @@
                 self._tell(one, 0)
 
     def set_data_centre(
-        self, name: str, state: const.DataCentreState, wall_time: float
+        self,
+        name: str,
+        state: const.DataCentreState,
+        if_version: int,
+        wall_time: float,
     ) -> replica.Item:
-        """Take a data centre out of service or back, and tell the others."""
+        """Take a data centre out of service or back, and tell the others.
+
+        ``if_version`` is the version that the operator saw. A command that
+        was held up thus never undoes one that was given later.
+        """
+        known = self.replica.get(replica.KIND_DATA_CENTRE, name)
+        if known is not None and known.version > if_version:
+            if known.value["state"] == state.value:
+                return known
+            raise exceptions.DataCentreConflict(
+                f"{name} is {known.value['state']} since version "
+                f"{known.version}; look at it, then try again"
+            )
         rank = RANK_OUT if state is const.DataCentreState.OUT else 0
         value = {"state": state.value, "at": round(wall_time, 3)}
         kind = replica.KIND_DATA_CENTRE
-        item = self.replica.put(kind, name, value, rank)
+        item = self.replica.put(kind, name, value, rank, if_version)
         self.follow_replica(wall_time)
         return item
 
@@ -374,6 +391,7 @@
         for item in changed:
             if item.kind == replica.KIND_DATA_CENTRE:
                 self._refresh()
+                self._tell_applied()
                 state = str(item.value.get("state"))
                 kind = const.EVENT_DATA_CENTRE
                 self.note(kind, item.name, state, wall_time)
@@ -416,6 +434,26 @@
             for one in pool.backends
         ]
 
+    def confirmed_by(self, name: str, version: int, now: float) -> set[str]:
+        """Return the live daemons that follow a data centre's state."""
+        confirmed = set()
+        for daemon in self.membership.alive(now):
+            item = self.replica.get(replica.KIND_APPLIED, daemon)
+            known = item.value["data_centres"] if item is not None else {}
+            if known.get(name, 0) >= version:
+                confirmed.add(daemon)
+        return confirmed
+
+    def _tell_applied(self) -> None:
+        """Tell the others what is in force here."""
+        states = self.replica.items(replica.KIND_DATA_CENTRE)
+        value = {
+            "version": self._version,
+            "data_centres": {item.name: item.version for item in states},
+        }
+        kind = replica.KIND_APPLIED
+        self.replica.put(kind, self._identity.daemon, value)
+
     def _configure_pool(self, service: models.Service) -> None:
         """Create or change the pool of a service."""
         pool = self._pools.get(service.name)
@@ -423,9 +461,11 @@
             pool.configure(service)
             return
         policy = routing.create_policy(self._policy, self._rng)
-        self._pools[service.name] = pool_module.ServicePool(
+        pool = pool_module.ServicePool(
             service, self._identity.data_centre, policy
         )
+        pool.set_blind_check(self.membership.is_isolated)
+        self._pools[service.name] = pool
 
     def _refresh(self) -> None:
         """Bring the pools in line with hosts, members and data centres."""
@@ -483,30 +523,29 @@
         first = not one.start_id
         one.start_id = start_id
         one.leaving = False
+        if not first:
+            self._pool_of(one).set_cold(one)
+            one.start_id = start_id
+            self._tell(one, RANK_COLD)
+            return
         item = self.replica.get(replica.KIND_BACKEND, one.key)
-        if first and item is not None and item.value["start"] == start_id:
+        if item is not None and item.value["start"] == start_id:
             self._follow_backend(item)
-            return
-        self._pool_of(one).set_cold(one)
 
     def _follow_backend(self, item: replica.Item) -> None:
         """Take over what another daemon knows of a backend server."""
-        for pool in self._pools.values():
-            one = pool.find(item.name)
-            if one is None:
-                continue
-            start_id = item.value["start"]
-            if item.origin == self._identity.daemon:
-                continue
-            if one.start_id and one.start_id != start_id:
-                one.leaving = False
-            one.start_id = start_id
-            one.leaving = bool(item.value["leaving"])
-            warm = item.value["warmth"] == const.Warmth.WARM.value
-            if warm:
-                pool.set_warm(one)
-            elif one.warmth is const.Warmth.WARM:
-                pool.set_unknown(one)
+        if item.origin == self._identity.daemon:
+            return
+        one = self.find_backend(item.name)
+        if one is None:
+            return
+        pool = self._pool_of(one)
+        one.leaving = bool(item.value["leaving"])
+        if item.value["warmth"] == const.Warmth.WARM.value:
+            one.start_id = item.value["start"]
+            pool.set_warm(one)
+        elif one.warmth is const.Warmth.WARM:
+            pool.set_unknown(one)
 
     def _tell(self, one: pool_module.Backend, rank: int) -> None:
         """Tell the others what this daemon knows of a backend server."""
--- a/tarragonlift/core/membership.py
+++ b/tarragonlift/core/membership.py
@@ -18,12 +18,15 @@
 import attrs
 
 ALIVE_SECONDS = 5.0
-FRESH_SECONDS = 2.0
+FRESH_SECONDS = 3.5
 SETTLE_SECONDS = 3.0
 PAUSE_SECONDS = 1.0
+RESUME_SECONDS = 0.5
 ISOLATED_SECONDS = 3.0
 GONE_SECONDS = 60.0
 BEATS_MOST = 32
+# Up to this many daemons the times above hold; they grow with the number.
+SCALE_MEMBERS = 12
 
 
 @attrs.define
@@ -62,6 +65,16 @@
         """Return when this process last looked at the clock."""
         return self._ticked_at
 
+    @property
+    def scale(self) -> float:
+        """Return by how much news takes longer than among few daemons."""
+        return max(1.0, len(self._members) / SCALE_MEMBERS)
+
+    @property
+    def settle_seconds(self) -> float:
+        """Return how long a daemon waits before it relies on its view."""
+        return SETTLE_SECONDS * self.scale
+
     def tick(self, now: float) -> None:
         """Note that this process runs; a gap means that it was paused."""
         if now - self._ticked_at > PAUSE_SECONDS:
@@ -75,7 +88,7 @@
         """Return whether this process ran for a while without a pause."""
         if now - self._ticked_at > PAUSE_SECONDS:
             return False
-        return now - self._steady_since >= SETTLE_SECONDS
+        return now - self._steady_since >= self.settle_seconds
 
     def next_beats(self, now: float) -> dict[str, int]:
         """Count a heartbeat; return the newest ones for a message."""
@@ -85,7 +98,7 @@
             (
                 (member.heard_at, name, member.beat)
                 for name, member in self._members.items()
-                if now - member.heard_at <= ALIVE_SECONDS
+                if now - member.heard_at <= ALIVE_SECONDS * self.scale
             ),
             reverse=True,
         )
@@ -132,18 +145,20 @@
 
     def alive(self, now: float) -> list[str]:
         """Return the daemons heard of lately, by name."""
+        limit = ALIVE_SECONDS * self.scale
         return sorted(
             name
             for name, member in self._members.items()
-            if name == self._daemon or now - member.heard_at <= ALIVE_SECONDS
+            if name == self._daemon or now - member.heard_at <= limit
         )
 
     def has_majority(self, now: float) -> bool:
         """Return whether more than half of the daemons were heard lately."""
+        limit = FRESH_SECONDS * self.scale
         fresh = sum(
             1
             for name, member in self._members.items()
-            if name == self._daemon or now - member.heard_at <= FRESH_SECONDS
+            if name == self._daemon or now - member.heard_at <= limit
         )
         return 2 * fresh > len(self._members)
 
@@ -154,10 +169,15 @@
     def is_isolated(self, now: float) -> bool:
         """Return whether neither a daemon nor the table was heard lately.
 
-        Such a daemon can't know which data centres are out.
+        Such a daemon can't know which data centres are out. The same holds
+        for a moment after a pause, until what came meanwhile was read.
         """
         if len(self._members) == 1:
             return False
+        if now - self._ticked_at > PAUSE_SECONDS:
+            return True
+        if now - self._steady_since < RESUME_SECONDS:
+            return True
         heard_at = max(
             member.heard_at
             for name, member in self._members.items()
--- a/tarragonlift/core/pool.py
+++ b/tarragonlift/core/pool.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import abc
+import itertools
 from typing import TYPE_CHECKING
 
 from tarragonlift.core import backend as backend_module
@@ -40,6 +41,8 @@
         self._backends: dict[str, Backend] = {}
         self._own: list[Backend] = []
         self._other: list[Backend] = []
+        self._dividing: abc.Iterator[None] = iter(())
+        self._is_blind: abc.Callable[[float], bool] = _never
         self.queue: fair_queue.FairQueue[call_module.Call] = (
             fair_queue.FairQueue(service.queue_length)
         )
@@ -93,19 +96,44 @@
         self._other = [b for b in everything if b.instance.data_centre != own]
 
     def divide_limits(self, daemon: str, known: abc.Iterable[str]) -> None:
-        """Divide the limits of all servers between the known daemons."""
+        """Divide the limits of all servers between the known daemons.
+
+        Where there are more daemons than a limit, ranking takes time; it
+        goes on a few servers at a time in ``go_on_dividing``.
+        """
         service = self._service
         known = list(known)
+        share = service.limit // max(1, len(known))
         for one in self._backends.values():
-            if len(known) <= service.limit:
-                one.share = service.limit // max(1, len(known))
-            else:
-                users = rendezvous.rank(one.key, known)[: service.limit]
-                one.share = 1 if daemon in users else 0
             one.slots = min(service.slots, service.limit)
             one.cold_limit = min(service.cold_limit, one.slots)
             one.warm_after = service.warm_after
             one.answer_seconds = service.deadline_s
+            if share:
+                one.share = share
+        self._dividing = iter(())
+        if not share:
+            backends = list(self._backends.values())
+            members = rendezvous.hash_members(known)
+            self._dividing = self._rank_each(backends, daemon, members)
+
+    def go_on_dividing(self, count: int) -> None:
+        """Rank the daemons for the next few servers."""
+        for _ in itertools.islice(self._dividing, count):
+            pass
+
+    def _rank_each(
+        self,
+        backends: list[Backend],
+        daemon: str,
+        members: rendezvous.Hashed,
+    ) -> abc.Iterator[None]:
+        """Let the first daemons of each server use it, one request each."""
+        limit = self._service.limit
+        for one in backends:
+            users = rendezvous.rank(one.key, members, limit)
+            one.share = 1 if daemon in users else 0
+            yield
 
     def needs_warm(self, now: float) -> list[Backend]:
         """Return cold servers that waiting requests could use."""
@@ -124,6 +152,10 @@
         for one in self._backends.values():
             one.data_centre_out = one.instance.data_centre in out
 
+    def set_blind_check(self, is_blind: abc.Callable[[float], bool]) -> None:
+        """Send nothing while this daemon can't know what is out."""
+        self._is_blind = is_blind
+
     def find(self, key: str) -> Backend | None:
         """Return the backend server of this name."""
         return self._backends.get(key)
@@ -132,6 +164,8 @@
         self, now: float, exclude: abc.Container[str] = ()
     ) -> Backend | None:
         """Return a backend server with room, or None."""
+        if self._is_blind(now):
+            return None
         if not self._policy.prefers_own_data_centre:
             return self._choose_of(self._own + self._other, now, exclude)
         return self._choose_of(self._own, now, exclude) or self._choose_of(
@@ -192,6 +226,9 @@
         """Treat the server as cold until an answer shows the same start."""
         one.warmth = const.Warmth.COLD
         one.successes = 0
+        one.resets += 1
+        # What others tell of the earlier start must not count any more.
+        one.start_id = ""
 
     def set_aside(self, one: Backend, now: float) -> None:
         """Prefer others for a moment after a failure."""
@@ -212,3 +249,8 @@
         if not candidates:
             return None
         return self._policy.choose(candidates, now)
+
+
+def _never(now: float) -> bool:
+    """Return False."""
+    return False
--- a/tarragonlift/core/replica.py
+++ b/tarragonlift/core/replica.py
@@ -89,11 +89,22 @@
         return sorted(found, key=lambda item: item.name)
 
     def put(
-        self, kind: str, name: str, value: dict[str, Any], rank: int = 0
+        self,
+        kind: str,
+        name: str,
+        value: dict[str, Any],
+        rank: int = 0,
+        if_version: int | None = None,
     ) -> Item:
-        """Change an item in the name of this daemon."""
+        """Change an item in the name of this daemon.
+
+        ``if_version`` is the version that the change is based on; without
+        it the change is based on what is known here.
+        """
         known = self._items.get((kind, name))
         version = known.version + 1 if known else 1
+        if if_version is not None:
+            version = if_version + 1
         if name == self._daemon:
             version = max(version, self._epoch)
         item = Item(kind, name, version, rank, self._daemon, value)
--- a/tarragonlift/core/warming.py
+++ b/tarragonlift/core/warming.py
@@ -62,6 +62,7 @@
 
     borrower: str
     until: float
+    resets: int
 
 
 class WarmingDuties:
@@ -79,6 +80,7 @@
         self._first_since: dict[str, float] = {}
         self._lent: dict[str, _Loan] = {}
         self._asked_at: dict[str, float] = {}
+        self._asked_resets: dict[str, int] = {}
         self._borrowed: dict[str, float] = {}
 
     def set_members(self, places: abc.Mapping[str, str], now: float) -> None:
@@ -90,7 +92,7 @@
 
     def is_settled(self, now: float) -> bool:
         """Return whether the members did not change for a while."""
-        settled_at = self._places_since + membership_module.SETTLE_SECONDS
+        settled_at = self._places_since + self._membership.settle_seconds
         return self._membership.is_settled(now) and now >= settled_at
 
     def warmer(self, one: Backend) -> str:
@@ -103,11 +105,14 @@
 
     def refresh(self, backends: abc.Iterable[Backend], now: float) -> None:
         """Renew the leases of the duties that this daemon has."""
-        steady = self._membership.is_settled(
-            now
-        ) and self._membership.has_majority(now)
+        steady = (
+            self._membership.is_settled(now)
+            and self._membership.has_majority(now)
+            and self._places.keys() >= set(self._membership.alive(now))
+        )
         for one in backends:
-            self._refresh_one(one, steady, now)
+            if one.warmth is not const.Warmth.WARM:
+                self._refresh_one(one, steady, now)
 
     def ask(self, one: Backend, now: float) -> Want | None:
         """Return a message that asks for a duty, not too often."""
@@ -116,6 +121,7 @@
         if now - self._asked_at.get(one.key, -math.inf) < ASK_SECONDS:
             return None
         self._asked_at[one.key] = now
+        self._asked_resets[one.key] = one.resets
         return Want(one.key, self._daemon)
 
     def on_want(
@@ -130,7 +136,7 @@
             return None
         one.warm_until = -math.inf
         until = now + LOAN_SECONDS + one.answer_seconds
-        self._lent[one.key] = _Loan(message.borrower, until)
+        self._lent[one.key] = _Loan(message.borrower, until, one.resets)
         return Lend(one.key, one.start_id, one.successes)
 
     def on_lend(self, message: Lend, one: Backend | None, now: float) -> bool:
@@ -141,8 +147,8 @@
             return False
         self._borrowed[one.key] = until
         one.warm_until = until
-        same = message.start_id == one.start_id
-        one.successes = message.successes if same else 0
+        if self._asked_resets.get(one.key) == one.resets:
+            _take_progress(one, message.start_id, message.successes)
         return True
 
     def returns(self, one: Backend, now: float) -> Return | None:
@@ -153,6 +159,11 @@
         del self._borrowed[one.key]
         return Return(one.key, self._daemon, one.start_id, one.successes)
 
+    @property
+    def borrowed(self) -> list[str]:
+        """Return the servers whose duty is borrowed."""
+        return list(self._borrowed)
+
     def on_return(self, message: Return, one: Backend | None) -> None:
         """Take a duty back."""
         loan = self._lent.get(message.server)
@@ -161,12 +172,13 @@
         del self._lent[message.server]
         if one is None or one.warmth is const.Warmth.WARM:
             return
-        if one.start_id == message.start_id:
-            one.successes = max(one.successes, message.successes)
+        # What was learned before the connections were lost counts no more.
+        if loan.resets == one.resets:
+            _take_progress(one, message.start_id, message.successes)
 
     def _refresh_one(self, one: Backend, steady: bool, now: float) -> None:
         """Renew the lease of one duty, if this daemon has it."""
-        if self.warmer(one) != self._daemon:
+        if self.warmer(one) != self._daemon or not steady:
             self._first_since[one.key] = math.inf
             if one.key not in self._borrowed:
                 one.warm_until = -math.inf
@@ -176,12 +188,12 @@
         since = self._first_since.setdefault(one.key, self._places_since)
         if since == math.inf:
             since = self._first_since[one.key] = now
-        settled = now - since >= membership_module.SETTLE_SECONDS
+        settled = now - since >= self._membership.settle_seconds
         loan = self._lent.get(one.key)
         if loan is not None and loan.until <= now:
             del self._lent[one.key]
             loan = None
-        if steady and settled and loan is None:
+        if settled and loan is None:
             one.warm_until = now + DUTY_SECONDS
         else:
             one.warm_until = -math.inf
@@ -194,4 +206,12 @@
         ] or list(self._places)
         if not members:
             return self._daemon
-        return rendezvous.rank(one.key, members)[0]
+        return rendezvous.first(one.key, rendezvous.hash_members(members))
+
+
+def _take_progress(one: Backend, start_id: str, successes: int) -> None:
+    """Take over how far another daemon has warmed the same start."""
+    if not one.start_id:
+        one.start_id = start_id
+    if one.start_id == start_id:
+        one.successes = max(one.successes, successes)
--- a/tarragonlift/exceptions.py
+++ b/tarragonlift/exceptions.py
@@ -46,10 +46,18 @@
         self.operator = operator
 
 
+class DataCentreConflict(TarragonliftError):
+    """Another operator changed the data centre's state first."""
+
+
 class CapacityShort(TarragonliftError):
     """The data centres that remain could not carry the work."""
 
 
+class NotConfirmed(TarragonliftError):
+    """No other daemon and not the table have taken a change yet."""
+
+
 class UnknownName(TarragonliftError):
     """A data centre, service or other thing is not in the configuration."""
 
--- a/tarragonlift_lab/cli.py
+++ b/tarragonlift_lab/cli.py
@@ -8,6 +8,7 @@
 import sys
 from typing import Annotated
 
+import attrs
 import typer
 
 from tarragonlift.core import routing
@@ -20,6 +21,7 @@
 from tarragonlift_lab import platform as platform_module
 from tarragonlift_lab import plots
 from tarragonlift_lab import server as server_module
+from tarragonlift_lab import slopes as slopes_module
 
 app = typer.Typer(
     no_args_is_help=True,
@@ -168,6 +170,24 @@
         raise typer.Exit(1)
 
 
+@app.command()
+def slopes(
+    json_file: Annotated[
+        pathlib.Path | None, typer.Option("--json", help="File for points.")
+    ] = None,
+) -> None:
+    """Measure state and time of each mechanism at several sizes."""
+    points = slopes_module.measure()
+    fits = slopes_module.fit(points)
+    print(slopes_module.table(points, fits))
+    if json_file is not None:
+        document = {
+            "points": [attrs.asdict(one) for one in points],
+            "fits": [attrs.asdict(one) for one in fits],
+        }
+        json_file.write_text(json.dumps(document, indent=2))
+
+
 def _cases(
     experiment: pathlib.Path | None,
     policies: list[str] | None,
--- a/tarragonlift_lab/demo.py
+++ b/tarragonlift_lab/demo.py
@@ -235,7 +235,8 @@
     await asyncio.sleep(seconds * OUT_AFTER_SHARE)
     out_at = time.time()
     path = f"/v1/data-centres/{name}"
-    await asyncio.to_thread(site.api().put, path, {"state": "out"})
+    body = {"state": "out", "if_version": 0}
+    await asyncio.to_thread(site.api().put, path, body)
     group = [
         address
         for (place, _), found in site.servers.items()
@@ -249,7 +250,8 @@
             last_seen = time.time()
         await asyncio.sleep(0.05)
     facts["new_work_after_out_s"] = round(last_seen - out_at, 3)
-    await asyncio.to_thread(site.api().put, path, {"state": "in-service"})
+    body = {"state": "in-service", "if_version": 1}
+    await asyncio.to_thread(site.api().put, path, body)
 
 
 _ATTEMPTS: dict[str, int] = {}
--- a/tarragonlift_lab/node.py
+++ b/tarragonlift_lab/node.py
@@ -19,6 +19,7 @@
 from tarragonlift.core import const
 from tarragonlift.core import doors
 from tarragonlift.core import models
+from tarragonlift.core import rotation
 from tarragonlift.core import seats
 from tarragonlift.core import warming
 from tarragonlift import exceptions
@@ -53,6 +54,7 @@
     outcome: str = ""
     whole: bool = False
     cut: bool = False
+    node: Node | None = None
     done: abc.Callable[[Caller], None] | None = None
 
     def end(self, now: float) -> None:
@@ -321,6 +323,7 @@
         self._numbers = itertools.count(1)
         seed = network.world.rng.getrandbits(32)
         self.rng = random.Random(seed)
+        self._rotation: rotation.Rotation[str] = rotation.Rotation(self.rng)
         identity = balancer_module.Identity(name, place, name + ":1", "")
         epoch = int(self.process.wall_time() * 1000)
         self.balancer = balancer_module.Balancer(identity, self.rng, epoch)
@@ -331,6 +334,7 @@
         self.adopted: list[tuple[int, float]] = []
         self.probes: list[tuple[str, float]] = []
         self.leaving = False
+        self.ended_by_leaving: list[float] = []
         self.table = world_module.FakeTable(platform, self.process)
         objects = world_module.FakeObjects(platform, self.process)
         host_list = world_module.FakeHosts(platform, self.process)
@@ -383,6 +387,7 @@
             fingerprint=caller.key or caller.nonce,
             fields={b"idempotency-key": caller.key.encode()},
         )
+        caller.node = self
         self.step("receive", None)
         if self.process.killed:
             return
@@ -399,6 +404,8 @@
     def kill(self) -> None:
         """Die: connections break, nothing is told."""
         self.process.killed = True
+        if self.leaving:
+            self.ended_by_leaving.append(self.network.world.now)
         self.network.nodes.pop(self.name, None)
         for exchange in list(self.exchanges.values()):
             for server, job in exchange.jobs.values():
@@ -431,9 +438,9 @@
             self.peers.spread_news()
 
     def random_peer(self) -> str | None:
-        """Return another daemon by chance."""
-        others = self.some_peers(1)
-        return others[0] if others else None
+        """Return the next of the other daemons."""
+        others = [name for name in self.network.nodes if name != self.name]
+        return self._rotation.next(others)
 
     def some_peers(self, count: int) -> list[str]:
         """Return other daemons by chance."""
--- /dev/null
+++ b/tests/core/test_rendezvous.py
@@ -0,0 +1,33 @@
+"""Tests of agreeing without a message."""
+
+from __future__ import annotations
+
+import collections
+
+from tarragonlift.core import rendezvous
+
+NAMES = [f"entry-{number}" for number in range(20)]
+KEYS = [f"10.0.0.{number}:80" for number in range(2000)]
+
+
+class TestRank:
+    """Duties are spread evenly and move little."""
+
+    def test_spreads_evenly(self) -> None:
+        """Each of 20 members gets about 100 of 2000 keys."""
+        members = rendezvous.hash_members(NAMES)
+        counts = collections.Counter(
+            rendezvous.first(key, members) for key in KEYS
+        )
+        assert len(counts) == 20
+        assert max(counts.values()) < 150
+        assert min(counts.values()) > 60
+
+    def test_only_the_keys_of_a_member_that_left_move(self) -> None:
+        """All others stay where they are."""
+        before = rendezvous.hash_members(NAMES)
+        after = rendezvous.hash_members(NAMES[1:])
+        for key in KEYS:
+            first = rendezvous.first(key, before)
+            if first != NAMES[0]:
+                assert rendezvous.first(key, after) == first
