Time a hedge by how long the caller waited

Cause: the hedge delay followed the latency of the attempt that was answered. A call that was saved by its second attempt counted as a fast one, so the delay fell until the budget of 5% ran dry (tokens near 0), and calls on a stalled server then waited for the stall to end. Ruled out: the data path (the core alone, in virtual time, shows the same) and a lack of room. Change: the delay follows the time since the first attempt.

--- a/tarragonlift/core/call.py
+++ b/tarragonlift/core/call.py
@@ -66,6 +66,7 @@
         self._refusal: exceptions.Refusal | None = None
         self._hedge_at = float("inf")
         self._ever_sent = False
+        self._first_sent_at = 0.0
         self._deadline_at = request.deadline_at
         self.replayable = True
         self.body_complete = True
@@ -134,7 +135,9 @@
         if self._winner is not None or attempt not in self._attempts:
             return []
         self._winner = attempt
-        self._pool.add_latency(attempt.backend, now - attempt.started_at, now)
+        value = now - attempt.started_at
+        waited = now - self._first_sent_at
+        self._pool.add_latency(attempt.backend, value, waited, now)
         result: Actions = []
         for other in list(self._attempts):
             if other is not attempt:
@@ -272,6 +275,8 @@
         self, backend: pool_module.Backend, now: float
     ) -> Attempt:
         """Count a new attempt."""
+        if not self._sent:
+            self._first_sent_at = now
         self._sent += 1
         attempt = Attempt(self._sent, backend, now)
         self._attempts.append(attempt)
--- a/tarragonlift/core/pool.py
+++ b/tarragonlift/core/pool.py
@@ -194,11 +194,18 @@
             one.in_flight -= 1
         return sent_at
 
-    def add_latency(self, one: Backend, value: float, now: float) -> None:
-        """Learn from the time until the head of an answer came."""
+    def add_latency(
+        self, one: Backend, value: float, waited: float, now: float
+    ) -> None:
+        """Learn from the time until the head of an answer came.
+
+        ``value`` counts from the attempt that was answered, ``waited`` from
+        the first one: a call that was hedged waited longer than the delay,
+        however fast its second attempt was.
+        """
         one.answered_at = now
         one.latency_mean.add(value, now)
-        self._latency.add(value)
+        self._latency.add(waited)
 
     def add_success(self, one: Backend) -> bool:
         """Count a whole answer; return whether the server became warm."""
