--- a/tarragonlift/cli/app.py
+++ b/tarragonlift/cli/app.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import pathlib
 import secrets
 from typing import Annotated
@@ -10,10 +11,14 @@
 import attrs
 import typer
 
+from tarragonlift.cli import cases
 from tarragonlift.cli import client as client_module
+from tarragonlift.cli import options
 from tarragonlift.cli import output
+from tarragonlift.cli import reference as reference_module
 from tarragonlift import config
 from tarragonlift.core import const as core_const
+from tarragonlift.core import replay as replay_module
 from tarragonlift import exceptions
 from tarragonlift.helpers import jsonc
 from tarragonlift import settings
@@ -32,30 +37,10 @@
     no_args_is_help=True, help="Requests held back after crashes."
 )
 app.add_typer(held_app, name="held")
+app.add_typer(cases.app, name="cases")
 app.add_typer(config_app, name="config")
 app.add_typer(data_centre_app, name="data-centre")
 
-ApiOption = Annotated[
-    str,
-    typer.Option(
-        "--api",
-        envvar="TARRAGONLIFT_API",
-        help="Address of any daemon's administration API.",
-    ),
-]
-TokenOption = Annotated[
-    str,
-    typer.Option(
-        "--token",
-        envvar="TARRAGONLIFT_TOKEN",
-        help="Token of the operator.",
-    ),
-]
-JsonOption = Annotated[
-    bool, typer.Option("--json", help="Print JSON instead of text.")
-]
-DEFAULT_API = "127.0.0.1:9080"
-
 
 @app.command()
 def serve() -> None:
@@ -71,7 +56,7 @@
             "(named after their data centre)."
         ),
     ],
-    json_output: JsonOption = False,
+    json_output: options.JsonOption = False,
 ) -> None:
     """Check files without a daemon; tell every error at its place."""
     problems = check_files(files)
@@ -99,9 +84,9 @@
             "that the daemon has in force."
         ),
     ] = None,
-    api: ApiOption = DEFAULT_API,
-    token: TokenOption = "",
-    json_output: JsonOption = False,
+    api: options.ApiOption = options.DEFAULT_API,
+    token: options.TokenOption = "",
+    json_output: options.JsonOption = False,
 ) -> None:
     """Put a new configuration in force at every site."""
     daemon = client_module.ApiClient(api, token)
@@ -128,9 +113,9 @@
 
 @config_app.command("show")
 def config_show(
-    api: ApiOption = DEFAULT_API,
-    token: TokenOption = "",
-    json_output: JsonOption = False,
+    api: options.ApiOption = options.DEFAULT_API,
+    token: options.TokenOption = "",
+    json_output: options.JsonOption = False,
 ) -> None:
     """Show the configuration in force, and where it is not."""
     document = client_module.ApiClient(api, token).get("/v1/configuration")
@@ -139,9 +124,9 @@
 
 @config_app.command("history")
 def config_history(
-    api: ApiOption = DEFAULT_API,
-    token: TokenOption = "",
-    json_output: JsonOption = False,
+    api: options.ApiOption = options.DEFAULT_API,
+    token: options.TokenOption = "",
+    json_output: options.JsonOption = False,
 ) -> None:
     """Show who pushed which version and when."""
     daemon = client_module.ApiClient(api, token)
@@ -163,9 +148,9 @@
             "--force", help="Also where the rest may not carry the work."
         ),
     ] = False,
-    api: ApiOption = DEFAULT_API,
-    token: TokenOption = "",
-    json_output: JsonOption = False,
+    api: options.ApiOption = options.DEFAULT_API,
+    token: options.TokenOption = "",
+    json_output: options.JsonOption = False,
 ) -> None:
     """Send no new work to a data centre."""
     _set_data_centre(
@@ -176,9 +161,9 @@
 @data_centre_app.command("in")
 def data_centre_in(
     name: str,
-    api: ApiOption = DEFAULT_API,
-    token: TokenOption = "",
-    json_output: JsonOption = False,
+    api: options.ApiOption = options.DEFAULT_API,
+    token: options.TokenOption = "",
+    json_output: options.JsonOption = False,
 ) -> None:
     """Send work to a data centre again."""
     state = core_const.DataCentreState.IN_SERVICE
@@ -187,9 +172,9 @@
 
 @data_centre_app.command("status")
 def data_centre_status(
-    api: ApiOption = DEFAULT_API,
-    token: TokenOption = "",
-    json_output: JsonOption = False,
+    api: options.ApiOption = options.DEFAULT_API,
+    token: options.TokenOption = "",
+    json_output: options.JsonOption = False,
 ) -> None:
     """Show the state of each data centre."""
     document = client_module.ApiClient(api, token).get("/v1/data-centres")
@@ -203,9 +188,9 @@
 
 @held_app.command("list")
 def held_list(
-    api: ApiOption = DEFAULT_API,
-    token: TokenOption = "",
-    json_output: JsonOption = False,
+    api: options.ApiOption = options.DEFAULT_API,
+    token: options.TokenOption = "",
+    json_output: options.JsonOption = False,
 ) -> None:
     """Show requests that are suspected of crashing backend servers."""
     document = client_module.ApiClient(api, token).get("/v1/held")
@@ -219,9 +204,9 @@
 @held_app.command("release")
 def held_release(
     fingerprint: str,
-    api: ApiOption = DEFAULT_API,
-    token: TokenOption = "",
-    json_output: JsonOption = False,
+    api: options.ApiOption = options.DEFAULT_API,
+    token: options.TokenOption = "",
+    json_output: options.JsonOption = False,
 ) -> None:
     """Let requests with this fingerprint run again."""
     daemon = client_module.ApiClient(api, token)
@@ -231,9 +216,9 @@
 
 @app.command()
 def hosts(
-    api: ApiOption = DEFAULT_API,
-    token: TokenOption = "",
-    json_output: JsonOption = False,
+    api: options.ApiOption = options.DEFAULT_API,
+    token: options.TokenOption = "",
+    json_output: options.JsonOption = False,
 ) -> None:
     """Show daemons and backend servers, with what the router thinks."""
     document = client_module.ApiClient(api, token).get("/v1/hosts")
@@ -249,9 +234,9 @@
     request: Annotated[
         str, typer.Option(help="Only what concerns this request or name.")
     ] = "",
-    api: ApiOption = DEFAULT_API,
-    token: TokenOption = "",
-    json_output: JsonOption = False,
+    api: options.ApiOption = options.DEFAULT_API,
+    token: options.TokenOption = "",
+    json_output: options.JsonOption = False,
 ) -> None:
     """Merge the events of all daemons, in order."""
     daemon = client_module.ApiClient(api, token)
@@ -266,6 +251,38 @@
     output.show(document, json_output, "\n".join(lines))
 
 
+@app.command()
+def replay(
+    traces: Annotated[
+        list[pathlib.Path],
+        typer.Argument(help="Traces: a JSON document on each line."),
+    ],
+    json_output: options.JsonOption = False,
+) -> None:
+    """Replay recorded messages and compare with the stated outcomes."""
+    found = {}
+    lines = []
+    for path in traces:
+        text = path.read_text(encoding="utf-8")
+        steps = [json.loads(line) for line in text.splitlines() if line]
+        differences = replay_module.Replay().run(steps)
+        found[str(path)] = [attrs.asdict(one) for one in differences]
+        lines.append(f"{path}: {'differs' if differences else 'as stated'}")
+        lines.extend(
+            f"  line {one.number}: stated {one.stated}, found {one.found}"
+            for one in differences
+        )
+    output.show(found, json_output, "\n".join(lines))
+    if any(found.values()):
+        raise typer.Exit(EXIT_ERROR)
+
+
+@app.command()
+def reference() -> None:
+    """Print the reference of settings and configuration."""
+    print(reference_module.render(), end="")
+
+
 def check_files(files: list[pathlib.Path]) -> list[exceptions.Problem]:
     """Return every error of settings files, or of a base and overlays."""
     try:
--- a/tarragonlift/components/admin/api.py
+++ b/tarragonlift/components/admin/api.py
@@ -31,6 +31,7 @@
     (exceptions.ConfigurationConflict, const.STATUS_CONFLICT),
     (exceptions.CapacityShort, const.STATUS_CONFLICT),
     (exceptions.DataCentreConflict, const.STATUS_CONFLICT),
+    (exceptions.CaseConflict, const.STATUS_CONFLICT),
     (exceptions.NotAuthorized, const.STATUS_FORBIDDEN),
 )
 
@@ -59,6 +60,9 @@
         ("GET", "/hosts", READ, handlers.get_hosts),
         ("GET", "/held", READ, handlers.get_held),
         ("DELETE", "/held/{fingerprint}", OPERATE, handlers.release_held),
+        ("GET", "/cases", READ, handlers.get_cases),
+        ("GET", "/cases/{case}", READ, handlers.get_case),
+        ("PUT", "/cases/{case}", OPERATE, handlers.set_case),
         ("GET", "/timeline", READ, handlers.get_timeline),
     )
     return tuple(_route(*one) for one in table)
--- a/tarragonlift/components/admin/handlers.py
+++ b/tarragonlift/components/admin/handlers.py
@@ -8,10 +8,12 @@
 from typing import Any
 
 import attrs
+import orjson
 import voluptuous as vol
 
 from tarragonlift.components.admin import const
 from tarragonlift.components.admin import models
+from tarragonlift.components.cases import const as cases_const
 from tarragonlift.components.configuration import const as configuration_const
 from tarragonlift.components import data_centres
 from tarragonlift import config
@@ -39,6 +41,8 @@
     }
 )
 
+CASE_SCHEMA = vol.Schema({vol.Required("state"): vol.In(cases_const.STATES)})
+
 Answer = models.ApiAnswer
 Request = models.ApiRequest
 
@@ -234,6 +238,61 @@
         self._context.mesh.spread_news()
         return Answer(const.STATUS_OK, {"released": fingerprint})
 
+    def get_cases(self, request: Request) -> Answer:
+        """Read all cases; the operation tells them."""
+        operation = self._begin()
+
+        def done(rows: list[doors.Row] | exceptions.PlatformError) -> None:
+            if isinstance(rows, exceptions.PlatformError):
+                _fail(operation, rows)
+                return
+            prefix = cases_const.ROW_PREFIX
+            found = [
+                {"case": row.key.removeprefix(prefix), **(row.value or {})}
+                for row in rows
+            ]
+            _complete(operation, {"cases": found})
+
+        self._context.cases.list_rows(done)
+        return Answer(const.STATUS_ACCEPTED, operation.to_document())
+
+    def get_case(self, request: Request) -> Answer:
+        """Read the text of a case; the operation tells it."""
+        operation = self._begin()
+
+        def done(data: bytes | None | exceptions.PlatformError) -> None:
+            if isinstance(data, exceptions.PlatformError):
+                _fail(operation, data)
+            elif data is None:
+                error = exceptions.UnknownName("no case has this number")
+                _fail(operation, error)
+            else:
+                _complete(operation, orjson.loads(data))
+
+        self._context.cases.read(request.arguments["case"], done)
+        return Answer(const.STATUS_ACCEPTED, operation.to_document())
+
+    def set_case(self, request: Request) -> Answer:
+        """Take or close a case; the operation tells the end."""
+        body = schema.check(CASE_SCHEMA, request.body, "body")
+        operation = self._begin()
+
+        def done(
+            found: dict[str, Any] | exceptions.TarragonliftError,
+        ) -> None:
+            if isinstance(found, exceptions.TarragonliftError):
+                _fail(operation, found)
+            else:
+                _complete(operation, found)
+
+        self._context.cases.set_state(
+            request.arguments["case"],
+            body["state"],
+            request.operator.name,
+            done,
+        )
+        return Answer(const.STATUS_ACCEPTED, operation.to_document())
+
     def get_timeline(self, request: Request) -> Answer:
         """Return this daemon's events."""
         query = request.query
--- a/tarragonlift/components/admin/models.py
+++ b/tarragonlift/components/admin/models.py
@@ -8,6 +8,7 @@
 import attrs
 
 from tarragonlift.components.admin import const
+from tarragonlift.components import cases as cases_module
 from tarragonlift.components import configuration as configuration_module
 from tarragonlift.components import data_centres as data_centres_module
 from tarragonlift.components.data_path import server
@@ -23,6 +24,7 @@
     """The parts that the API shows and drives."""
 
     balancer: balancer_module.Balancer
+    cases: cases_module.CaseKeeper
     configuration: configuration_module.ConfigurationKeeper
     data_centres: data_centres_module.DataCentreKeeper
     data_path: server.DataPath
--- a/tarragonlift/components/daemon/__init__.py
+++ b/tarragonlift/components/daemon/__init__.py
@@ -14,6 +14,7 @@
 import circuits
 
 from tarragonlift.components import admin
+from tarragonlift.components import cases
 from tarragonlift.components import claims
 from tarragonlift.components import configuration
 from tarragonlift.components.daemon import const
@@ -61,11 +62,9 @@
         self._platform = platform.create_platform(
             self._poller, settings.table, settings.objects, settings.hosts
         )
+        self._pages = pages.Pages(self.is_ready)
         self._data_path = data_path.create_data_path(
-            self._poller,
-            self._balancer,
-            self._metrics,
-            pages.Pages(self.is_ready),
+            self._poller, self._balancer, self._metrics, self._pages
         )
         self._mesh = peers.create_mesh(
             self._poller,
@@ -103,11 +102,16 @@
         self._prober = measuring.create_prober(
             self._poller, self._balancer, table, self._data_path, self._metrics
         )
+        self._cases = cases.create_case_keeper(
+            self._poller, self._balancer, table, self._platform.objects
+        )
+        self._pages.case_keeper = self._cases
         self._admin = admin.create_admin(
             self,
             self._settings.admin,
             admin.Context(
                 balancer=self._balancer,
+                cases=self._cases,
                 configuration=self._configuration,
                 data_centres=self._data_centres,
                 data_path=self._data_path,
@@ -186,6 +190,7 @@
             return
         limit = self._settings.drain_seconds + self._settings.finish_seconds
         busy = self._data_path.busy or self._balancer.claims.busy
+        busy = busy or self._cases.waiting > 0
         if busy and waited < limit:
             return
         self._data_path.close()
--- a/tarragonlift/exceptions.py
+++ b/tarragonlift/exceptions.py
@@ -62,6 +62,10 @@
     """A data centre, service or other thing is not in the configuration."""
 
 
+class CaseConflict(TarragonliftError):
+    """Another operator changed the case first."""
+
+
 class NotAuthorized(TarragonliftError):
     """The operator's token is missing, wrong or lacks the role."""
 
--- a/tarragonlift_lab/cli.py
+++ b/tarragonlift_lab/cli.py
@@ -101,12 +101,17 @@
     ] = None,
     rate: Annotated[float, typer.Option(help="Calls a second.")] = 200.0,
     seed: int = 1,
+    plot: Annotated[
+        pathlib.Path | None, typer.Option(help="PNG file of the service.")
+    ] = None,
 ) -> None:
     """Run the whole path: platform, servers, daemons, load and faults."""
     report = demo_module.run(seconds, rate, seed)
     print(demo_module.describe(report))
     if json_file is not None:
         json_file.write_text(json.dumps(report.figures, indent=2))
+    if plot is not None:
+        plots.plot_service(report.service, plot)
     if report.broken:
         raise typer.Exit(1)
 
--- a/tarragonlift_lab/demo.py
+++ b/tarragonlift_lab/demo.py
@@ -67,6 +67,7 @@
     figures: dict[str, Any]
     broken: list[str]
     errors: dict[str, int]
+    service: dict[str, Any]
 
 
 @attrs.define
@@ -250,6 +251,11 @@
             last_seen = time.time()
         await asyncio.sleep(0.05)
     facts["new_work_after_out_s"] = round(last_seen - out_at, 3)
+    facts["marks"] = {
+        "out": seconds * OUT_AFTER_SHARE,
+        "back": seconds * BACK_AFTER_SHARE,
+        "stop": seconds * STOP_AFTER_SHARE,
+    }
     body = {"state": "in-service", "if_version": 1}
     await asyncio.to_thread(site.api().put, path, body)
 
@@ -327,7 +333,7 @@
             )
             for name, percent in (("p50", 50), ("p99", 99))
         },
-        **facts,
+        **{name: value for name, value in facts.items() if name != "marks"},
     }
     zero = (
         "failed",
@@ -343,7 +349,16 @@
     broken = [name for name in zero if figures[name] != 0]
     if figures["new_work_after_out_s"] > OUT_GRACE_S:
         broken.append("new_work_after_out_s")
-    return Report(figures, broken, result.errors)
+    service = {
+        "second": sorted(result.seconds),
+        "p99_ms": _by_second(result),
+        "failed": [
+            result.failures_at.get(second, 0)
+            for second in sorted(result.seconds)
+        ],
+        "marks": facts.pop("marks"),
+    }
+    return Report(figures, broken, result.errors, service)
 
 
 def _by_second(result: load_module.Result) -> list[float]:
