--- a/tarragonlift/components/data_path/server.py
+++ b/tarragonlift/components/data_path/server.py
@@ -191,7 +191,7 @@
         """Learn from what the backend server says of itself."""
         start_id = head.get(exchange_module.SERVER_START)
         load = head.get(exchange_module.SERVER_LOAD)
-        self._balancer.on_server_headers(
+        self._balancer.servers.on_headers(
             attempt.backend,
             start_id.decode("latin-1") if start_id else "",
             _number(load),
@@ -203,7 +203,9 @@
     ) -> None:
         """Learn from a failure of the backend server."""
         self._metrics.count(f"attempts.{failure.value}")
-        self._balancer.on_server_failure(attempt.backend, failure, time.time())
+        self._balancer.servers.on_failure(
+            attempt.backend, failure, time.time()
+        )
 
     def carry_out(self, exchange: Exchange, action: actions.Action) -> None:
         """Do what concerns more than one exchange."""
@@ -291,7 +293,7 @@
 
     def _on_server_closed(self, address: models.Address) -> None:
         """A backend server closed its last idle connection."""
-        self._balancer.on_connections_closed(address, time.time())
+        self._balancer.servers.on_connections_closed(address, time.time())
 
 
 class _Ignoring(caller.RequestListener):
--- a/tarragonlift/components/measuring/__init__.py
+++ b/tarragonlift/components/measuring/__init__.py
@@ -101,7 +101,7 @@
         except (orjson.JSONDecodeError, KeyError, TypeError, ValueError):
             return
         now = self._loop.now()
-        self._balancer.on_server_headers(backend, start_id, load, now)
+        self._balancer.servers.on_headers(backend, start_id, load, now)
 
     def _read_rows(self, now: float) -> None:
         """Read the seats once in a while."""
--- a/tarragonlift/core/balancer.py
+++ b/tarragonlift/core/balancer.py
@@ -18,18 +18,14 @@
 from tarragonlift.core import replica
 from tarragonlift.core import routing
 from tarragonlift.core import seats
+from tarragonlift.core import servers
 from tarragonlift.core import suspects
 from tarragonlift.core import timeline
 from tarragonlift.core import warming
 from tarragonlift import exceptions
 
-FAILURES_COLD = frozenset(
-    (const.AttemptFailure.CONNECT_FAILED, const.AttemptFailure.SHED)
-)
 SERVERS_RANKED_A_TICK = 1
 RANK_OUT = 1
-RANK_COLD = 1
-RANK_LEAVING = 2
 
 
 @attrs.frozen
@@ -74,6 +70,9 @@
         self.replica = replica.Replica(identity.daemon, epoch)
         self.membership = membership.Membership(identity.daemon, epoch)
         self.duties = warming.WarmingDuties(identity.daemon, self.membership)
+        self.servers = servers.ServerKnowledge(
+            identity.daemon, self.replica, self._pools, self.note
+        )
         self.claims = claims.ClaimBook(identity.daemon)
         self.timeline = timeline.Timeline(identity.daemon)
         self.seats = seats.SeatKeeper(identity.daemon)
@@ -157,7 +156,7 @@
         self.membership.tick(now)
         self._follow_members(now)
         self._has_settled |= self.duties.is_settled(now)
-        self.duties.refresh(self._all_backends(), now)
+        self.duties.refresh(self.servers.all(), now)
         messages: list[warming.LoanMessage] = []
         for pool in self._pools.values():
             for one in pool.needs_warm(now):
@@ -166,7 +165,7 @@
                     messages.append(want)
             pool.go_on_dividing(SERVERS_RANKED_A_TICK)
         for key in self.duties.borrowed:
-            one = self.find_backend(key)
+            one = self.servers.find(key)
             given_back = one and self.duties.returns(one, now)
             if given_back is not None:
                 messages.append(given_back)
@@ -196,7 +195,7 @@
         self, message: warming.LoanMessage, now: float
     ) -> warming.Lend | None:
         """Take a message about a warming duty; return the answer."""
-        one = self.find_backend(message.server)
+        one = self.servers.find(message.server)
         if isinstance(message, warming.Want):
             return self.duties.on_want(message, one, now)
         if isinstance(message, warming.Lend):
@@ -207,7 +206,7 @@
 
     def loan_target(self, message: warming.LoanMessage) -> str:
         """Return the daemon that a loan message is for."""
-        one = self.find_backend(message.server)
+        one = self.servers.find(message.server)
         return self.duties.warmer(one) if one is not None else ""
 
     def learn_rows(self, versions: abc.Mapping[str, int], now: float) -> None:
@@ -216,14 +215,6 @@
             self.replica.drop(replica.KIND_MEMBER, name)
             self.replica.drop(replica.KIND_APPLIED, name)
 
-    def find_backend(self, key: str) -> pool_module.Backend | None:
-        """Return the backend server of this name."""
-        for pool in self._pools.values():
-            one = pool.find(key)
-            if one is not None:
-                return one
-        return None
-
     def open_call(
         self,
         head: RequestFacts,
@@ -267,73 +258,6 @@
         self._number += 1
         return f"{self._identity.daemon}-{self._number:x}"
 
-    def on_server_headers(
-        self, one: pool_module.Backend, start_id: str, load: float, now: float
-    ) -> None:
-        """Learn from what a backend server says of itself."""
-        one.reported_load = load
-        one.reported_at = now
-        if start_id and start_id != one.start_id:
-            self._on_start_id(one, start_id)
-
-    def on_server_failure(
-        self,
-        one: pool_module.Backend,
-        failure: const.AttemptFailure,
-        wall_time: float,
-    ) -> None:
-        """Learn from a failure of a backend server."""
-        if failure is const.AttemptFailure.DRAINING:
-            if not one.leaving:
-                self.set_leaving(one, wall_time)
-        elif failure in FAILURES_COLD:
-            self.set_cold(one, wall_time)
-
-    def set_leaving(self, one: pool_module.Backend, wall_time: float) -> None:
-        """Send no new work to a backend server, and tell the others."""
-        one.leaving = True
-        self._tell(one, RANK_LEAVING)
-        self.note(const.EVENT_BACKEND_LEAVING, one.key, "", wall_time)
-
-    def set_cold(self, one: pool_module.Backend, wall_time: float) -> None:
-        """Treat a backend server as cold, and tell the others."""
-        was_warm = one.warmth is const.Warmth.WARM
-        service = self._pool_of(one)
-        service.set_cold(one)
-        if was_warm:
-            self._tell(one, RANK_COLD)
-            self.note(const.EVENT_BACKEND_COLD, one.key, "", wall_time)
-
-    def on_connections_closed(
-        self, address: models.Address, wall_time: float
-    ) -> None:
-        """A backend server closed its connections: it may have restarted."""
-        for pool in self._pools.values():
-            one = pool.find(str(address))
-            if one is not None:
-                self._set_unknown(pool, one, wall_time)
-
-    def _set_unknown(
-        self,
-        pool: pool_module.ServicePool,
-        one: pool_module.Backend,
-        wall_time: float,
-    ) -> None:
-        """Treat a server that may have restarted as cold; tell the others."""
-        was_warm = one.warmth is const.Warmth.WARM
-        pool.set_unknown(one)
-        if was_warm:
-            self._tell(one, RANK_COLD)
-            detail = "connections lost"
-            self.note(const.EVENT_BACKEND_COLD, one.key, detail, wall_time)
-
-    def on_warm(self, key: str) -> None:
-        """Tell the others that a backend server is warm."""
-        for pool in self._pools.values():
-            one = pool.find(key)
-            if one is not None:
-                self._tell(one, 0)
-
     def set_data_centre(
         self,
         name: str,
@@ -402,7 +326,7 @@
                 kind = const.EVENT_DATA_CENTRE
                 self.note(kind, item.name, state, wall_time)
             elif item.kind == replica.KIND_BACKEND:
-                self._follow_backend(item)
+                self.servers.follow(item)
             elif item.kind == replica.KIND_HELD:
                 self.suspects.refresh()
             elif item.kind == replica.KIND_MEMBER:
@@ -415,7 +339,7 @@
     ) -> timeline.Event:
         """Put a decision's event on the time line."""
         if action.kind == const.EVENT_BACKEND_WARM:
-            self.on_warm(action.subject)
+            self.servers.on_warm(action.subject)
         return self.note(action.kind, action.subject, action.detail, wall_time)
 
     def report(self, now: float) -> list[dict[str, Any]]:
@@ -486,18 +410,13 @@
             pool.divide_limits(self._identity.daemon, self.membership.known)
             pool.set_data_centres_out(out)
         for item in self.replica.items(replica.KIND_BACKEND):
-            self._follow_backend(item)
+            self.servers.follow(item)
 
     def _is_held(self, request: models.Request) -> bool:
         """Return whether requests like this one are held back."""
         crashes = self.suspects.crashes(request.fingerprint)
         return crashes >= request.service.crash_limit
 
-    def _all_backends(self) -> abc.Iterator[pool_module.Backend]:
-        """Return the backend servers of all services."""
-        for pool in self._pools.values():
-            yield from pool.backends
-
     def _follow_members(self, now: float) -> None:
         """Follow who is alive and who counts."""
         members = (self.membership.alive(now), self.membership.known)
@@ -527,48 +446,6 @@
         else:
             self.membership.rejoin(item.name)
 
-    def _on_start_id(self, one: pool_module.Backend, start_id: str) -> None:
-        """A backend server was started anew, or is seen first."""
-        first = not one.start_id
-        one.start_id = start_id
-        one.leaving = False
-        if not first:
-            self._pool_of(one).set_cold(one)
-            one.start_id = start_id
-            self._tell(one, RANK_COLD)
-            return
-        item = self.replica.get(replica.KIND_BACKEND, one.key)
-        if item is not None and item.value["start"] == start_id:
-            self._follow_backend(item)
-
-    def _follow_backend(self, item: replica.Item) -> None:
-        """Take over what another daemon knows of a backend server."""
-        if item.origin == self._identity.daemon:
-            return
-        one = self.find_backend(item.name)
-        if one is None:
-            return
-        pool = self._pool_of(one)
-        one.leaving = bool(item.value["leaving"])
-        if item.value["warmth"] == const.Warmth.WARM.value:
-            one.start_id = item.value["start"]
-            pool.set_warm(one)
-        elif one.warmth is const.Warmth.WARM:
-            pool.set_unknown(one)
-
-    def _tell(self, one: pool_module.Backend, rank: int) -> None:
-        """Tell the others what this daemon knows of a backend server."""
-        value = {
-            "start": one.start_id,
-            "warmth": one.warmth.value,
-            "leaving": one.leaving,
-        }
-        self.replica.put(replica.KIND_BACKEND, one.key, value, rank)
-
-    def _pool_of(self, one: pool_module.Backend) -> pool_module.ServicePool:
-        """Return the pool of a backend server."""
-        return self._pools[one.instance.service]
-
 
 @attrs.define
 class RequestFacts:
--- a/tarragonlift/core/replay.py
+++ b/tarragonlift/core/replay.py
@@ -137,7 +137,7 @@
         """The head of an answer arrives."""
         attempt = self._attempt(step)
         if "start" in step:
-            self._balancer.on_server_headers(
+            self._balancer.servers.on_headers(
                 attempt.backend, step["start"], 0.0, now
             )
         call = self._calls[step["call"]]
@@ -153,7 +153,7 @@
         """An attempt fails."""
         attempt = self._attempt(step)
         failure = const.AttemptFailure(step["failure"])
-        self._balancer.on_server_failure(attempt.backend, failure, now)
+        self._balancer.servers.on_failure(attempt.backend, failure, now)
         call = self._calls[step["call"]]
         wanted = call.on_attempt_failed(attempt, failure, now)
         return self._take(step, wanted)
@@ -193,7 +193,7 @@
     def _connections_lost(self, step: Step, now: float) -> list[str]:
         """A server closed its connections."""
         address = models.Address.parse(step["server"])
-        self._balancer.on_connections_closed(address, now)
+        self._balancer.servers.on_connections_closed(address, now)
         return []
 
     def _configuration(self, step: Step, now: float) -> list[str]:
--- a/tarragonlift_lab/demo.py
+++ b/tarragonlift_lab/demo.py
@@ -14,6 +14,7 @@
 import attrs
 
 from tarragonlift.cli import client as api_client
+from tarragonlift.cli import output
 from tarragonlift_lab import http
 from tarragonlift_lab import load as load_module
 from tarragonlift_lab import processes as processes_module
@@ -25,6 +26,7 @@
 BACK_AFTER_SHARE = 0.55
 STOP_AFTER_SHARE = 0.7
 OUT_GRACE_S = 2.0
+IN_FORCE_S = 7.0
 STOP_WAIT_S = 20.0
 READY_WAIT_S = 10.0
 
@@ -216,6 +218,7 @@
     running = asyncio.ensure_future(load.run(seconds))
     facts: dict[str, Any] = {}
     await _move_data_centre(site, seconds, facts)
+    facts["config_in_force_s"] = await asyncio.to_thread(_push_again, site)
     await _stop_daemon(site, load, seconds, facts)
     result = await running
     facts["errors_logged"] = site.processes.errors_logged()
@@ -260,6 +263,21 @@
     await asyncio.to_thread(site.api().put, path, body)
 
 
+def _push_again(site: Site) -> float:
+    """Push a change; return the seconds until it is in force everywhere."""
+    api = site.api(1)
+    body = {
+        "push": "demo-push-again",
+        "if_version": 1,
+        "base": BASE.replace('"queue_length": 256', '"queue_length": 257'),
+        "overlays": OVERLAYS,
+    }
+    started = time.monotonic()
+    result = api.wait(api.post("/v1/configuration", body))
+    output.wait_in_force(api, result["version"])
+    return round(time.monotonic() - started, 3)
+
+
 _ATTEMPTS: dict[str, int] = {}
 
 
@@ -347,6 +365,8 @@
         "stop_status",
     )
     broken = [name for name in zero if figures[name] != 0]
+    if figures["config_in_force_s"] > IN_FORCE_S:
+        broken.append("config_in_force_s")
     if figures["new_work_after_out_s"] > OUT_GRACE_S:
         broken.append("new_work_after_out_s")
     service = {
--- a/tarragonlift_lab/faults.py
+++ b/tarragonlift_lab/faults.py
@@ -16,6 +16,7 @@
 from tarragonlift.core import models
 from tarragonlift.core import replica
 from tarragonlift import exceptions
+from tarragonlift_lab import injectors
 from tarragonlift_lab import node as node_module
 from tarragonlift_lab import promises
 from tarragonlift_lab import world as world_module
@@ -33,12 +34,7 @@
 ORDERS_SHARE = 0.4
 TIMEOUT_SECONDS = 5.0
 RESEND_SECONDS = 1.0
-RESENDS_MOST = 3
-PAUSE_SECONDS = 8.0
-STORE_DOWN_SECONDS = 6.0
-CUT_SECONDS = 8.0
 OPERATOR_PATIENCE_SECONDS = 6.0
-SERVER_DOWN_SECONDS = 0.3
 
 BASE = json.dumps(
     {
@@ -171,7 +167,7 @@
         fault = self._pending.pop(step, None)
         if fault is not None:
             self.note(f"fault {fault} at {step}")
-            INJECTORS[fault](self, node, exchange)
+            injectors.INJECTORS[fault](self, node, exchange)
 
     def note(self, text: str) -> None:
         """Keep an event for the trace."""
@@ -267,9 +263,9 @@
             rate = BURST_CALLS_A_SECOND if burst else CALLS_A_SECOND
             when += self.world.rng.expovariate(rate)
             once = self.world.rng.random() < ORDERS_SHARE
-            self.world.call_at(when, functools.partial(self._call, once))
+            self.world.call_at(when, functools.partial(self.call, once))
 
-    def _call(self, once: bool, key: str = "", resends: int = 0) -> None:
+    def call(self, once: bool, key: str = "", resends: int = 0) -> None:
         """A caller sends a request, and sends it again where told to."""
         nonce = f"n{next(self._numbers)}"
         key = key or (f"k-{nonce}" if once else "")
@@ -282,10 +278,10 @@
 
         def ended(one: node_module.Caller) -> None:
             good = one.whole or one.outcome == "ran"
-            if once and not good and resends < RESENDS_MOST:
+            if once and not good and resends < injectors.RESENDS_MOST:
                 self.world.call_later(
                     RESEND_SECONDS,
-                    functools.partial(self._call, True, key, resends + 1),
+                    functools.partial(self.call, True, key, resends + 1),
                 )
 
         caller.done = ended
@@ -300,7 +296,7 @@
     def _restart_server(self) -> None:
         """A server restarts and is cold."""
         self.on_step("warm", self.nodes[0], None)
-        self._server(0).restart(SERVER_DOWN_SECONDS)
+        self._server(0).restart(injectors.SERVER_DOWN_SECONDS)
         self.note("server 0 restarts")
 
     def _drain_server(self) -> None:
@@ -309,7 +305,7 @@
         server = self._server(2)
         server.draining_since = self.world.now
         self.note("server 2 drains")
-        _list_leaving(self)
+        injectors.list_leaving(self)
 
     def _join(self) -> None:
         """A daemon joins."""
@@ -326,213 +322,11 @@
             self.note(f"{node.name} leaves")
 
 
-Injector = abc.Callable[
-    [Trial, "node_module.Node | None", "node_module.Exchange | None"], None
-]
-
-
-def _target(
-    trial: Trial, exchange: node_module.Exchange | None
-) -> world_module.FakeServer:
-    """Return the server of the exchange, or some server."""
-    if exchange is not None and exchange.jobs:
-        return next(iter(exchange.jobs.values()))[0]
-    servers = list(trial.network.servers.values())
-    return trial.world.rng.choice(servers)
-
-
-def _list_leaving(trial: Trial) -> None:
-    """Let the platform's list tell which servers leave, after its lag."""
-    trial.platform.set_hosts(
-        [
-            attrs.evolve(
-                one.instance, leaving=one.draining_since <= trial.world.now
-            )
-            for one in trial.network.servers.values()
-        ]
-    )
-
-
-def _slow_server(trial: Trial, node: Any, exchange: Any) -> None:
-    """The server is slow for some seconds."""
-    _target(trial, exchange).slow_until = trial.world.now + 3.0
-
-
-def _drain(trial: Trial, node: Any, exchange: Any) -> None:
-    """The server starts to leave, and refuses new work."""
-    server = _target(trial, exchange)
-    server.draining_since = min(server.draining_since, trial.world.now)
-    _list_leaving(trial)
-
-
-def _leave_silently(trial: Trial, node: Any, exchange: Any) -> None:
-    """The server starts to leave; only the list of hosts tells."""
-    server = _target(trial, exchange)
-    server.refuses_when_draining = False
-    server.draining_since = min(server.draining_since, trial.world.now)
-    _list_leaving(trial)
-
-
-def _fail_fast(trial: Trial, node: Any, exchange: Any) -> None:
-    """The server refuses everything for a while."""
-    _target(trial, exchange).fails_fast_until = trial.world.now + 2.0
-
-
-def _turn_cold(trial: Trial, node: Any, exchange: Any) -> None:
-    """The server is cold again without notice.
-
-    It is not freshly started any more: nothing tells a daemon before the
-    first slow answer, so the check of fresh servers does not count it.
-    """
-    server = _target(trial, exchange)
-    server.served = 0
-    server.fresh = False
-
-
-def _crash(trial: Trial, node: Any, exchange: Any) -> None:
-    """The server crashes and starts anew."""
-    server = _target(trial, exchange)
-    trial.world.call_later(
-        0.0, functools.partial(server.restart, SERVER_DOWN_SECONDS)
-    )
-
-
-def _late(trial: Trial, node: Any, exchange: Any) -> None:
-    """The server's next answers come late."""
-    _target(trial, exchange).late_answers += 2
-
-
-def _cut_answer(trial: Trial, node: Any, exchange: Any) -> None:
-    """The server's next answers are cut short."""
-    _target(trial, exchange).cuts_answers += 2
-
-
-def _store_down(trial: Trial, node: Any, exchange: Any) -> None:
-    """The store is down for a while."""
-    faults = trial.platform.faults
-    faults.down = True
-    trial.world.call_later(
-        STORE_DOWN_SECONDS, lambda: setattr(faults, "down", False)
-    )
-    trial.list_back_at = trial.world.now + STORE_DOWN_SECONDS
-
-
-def _store_slow(trial: Trial, node: Any, exchange: Any) -> None:
-    """The store is slow for a while, beyond every timeout."""
-    faults = trial.platform.faults
-    faults.slow_seconds = 1.5
-    trial.world.call_later(
-        STORE_DOWN_SECONDS, lambda: setattr(faults, "slow_seconds", 0.0)
-    )
-    trial.list_back_at = trial.world.now + STORE_DOWN_SECONDS
-
-
-def _lose_answers(trial: Trial, node: Any, exchange: Any) -> None:
-    """The answers to the next writes are lost."""
-    trial.platform.faults.lose_answers += 3
-
-
-def _pause(trial: Trial, node: Any, exchange: Any) -> None:
-    """The daemon is paused."""
-    victim = node or trial.nodes[0]
-    victim.process.paused_until = trial.world.now + PAUSE_SECONDS
-    trial.unreachable.add(victim.name)
-
-
-def _kill(trial: Trial, node: Any, exchange: Any) -> None:
-    """The daemon is killed."""
-    if len(trial.live_nodes()) > 1:
-        victim = node or trial.nodes[0]
-        trial.killed.add(victim.name)
-        victim.kill()
-
-
-def _replace(trial: Trial, node: Any, exchange: Any) -> None:
-    """The daemon is killed, and a new one takes its name."""
-    victim = node or trial.nodes[0]
-    trial.killed.add(victim.name)
-    victim.kill()
-    place = victim.balancer.identity.data_centre
-    trial.world.call_later(
-        1.0, functools.partial(trial.add_node, victim.name, place)
-    )
-
-
-def _cut_peers(trial: Trial, node: Any, exchange: Any) -> None:
-    """The daemon and its peers do not reach one another for a while."""
-    victim = node or trial.nodes[0]
-    trial.network.cut.add(victim.name)
-    trial.cut_off.add(victim.name)
-    trial.world.call_later(
-        CUT_SECONDS, lambda: trial.network.cut.discard(victim.name)
-    )
-
-
-def _isolate(trial: Trial, node: Any, exchange: Any) -> None:
-    """The daemon reaches neither its peers nor the store for a while."""
-    victim = node or trial.nodes[0]
-    _cut_peers(trial, victim, exchange)
-    trial.platform.cut.add(victim.process)
-    trial.unreachable.add(victim.name)
-    trial.world.call_later(
-        CUT_SECONDS, lambda: trial.platform.cut.discard(victim.process)
-    )
-
-
-def _hosts_lag(trial: Trial, node: Any, exchange: Any) -> None:
-    """The list of hosts lags more."""
-    trial.platform.faults.hosts_lag_seconds = 2.5
-
-
-def _race(trial: Trial, node: Any, exchange: Any) -> None:
-    """Two more operators push at once."""
-    trial.push(3)
-    trial.push(4)
-
-
-def _caller_gone(trial: Trial, node: Any, exchange: Any) -> None:
-    """The caller closes its connection."""
-    if exchange is not None and exchange.caller is not None:
-        caller = exchange.caller
-        trial.world.call_later(0.0, exchange.caller_gone)
-        trial.world.call_later(0.0, lambda: caller.end(trial.world.now))
-
-
-def _resend(trial: Trial, node: Any, exchange: Any) -> None:
-    """The caller sends the same request again, to any daemon."""
-    if exchange is not None and exchange.call.request.run is const.Run.ONCE:
-        trial._call(True, exchange.call.request.key, RESENDS_MOST)
-
-
-INJECTORS: dict[str, Injector] = {
-    "server-slow": _slow_server,
-    "server-drains": _drain,
-    "server-leaves-silently": _leave_silently,
-    "server-fails-fast": _fail_fast,
-    "server-turns-cold": _turn_cold,
-    "server-crashes": _crash,
-    "answer-late": _late,
-    "answer-cut": _cut_answer,
-    "store-down": _store_down,
-    "store-slow": _store_slow,
-    "store-answers-lost": _lose_answers,
-    "daemon-paused": _pause,
-    "daemon-killed": _kill,
-    "daemon-replaced": _replace,
-    "peers-cut": _cut_peers,
-    "daemon-isolated": _isolate,
-    "hosts-lag": _hosts_lag,
-    "operators-race": _race,
-    "caller-gone": _caller_gone,
-    "caller-resends": _resend,
-}
-
-
 def single_plans(seed: int) -> abc.Iterator[Plan]:
     """Return a plan for every fault at every step."""
     yield Plan(seed)
     for step in STEPS:
-        for fault in INJECTORS:
+        for fault in injectors.INJECTORS:
             yield Plan(seed, ((step, fault),))
 
 
@@ -541,7 +335,7 @@
     rng = world_module.random.Random(seed)
     for number in range(count):
         steps = rng.sample(STEPS, 2)
-        faults = rng.choices(list(INJECTORS), k=2)
+        faults = rng.choices(list(injectors.INJECTORS), k=2)
         pairs = tuple(zip(steps, faults, strict=True))
         yield Plan(seed + number, pairs)
 
--- a/tarragonlift_lab/node.py
+++ b/tarragonlift_lab/node.py
@@ -258,12 +258,12 @@
         node = self.node
         now = node.process.now()
         if start_id:
-            node.balancer.on_server_headers(
+            node.balancer.servers.on_headers(
                 attempt.backend, start_id, 0.0, now
             )
         failure = FAILURES.get(how)
         if failure is not None:
-            node.balancer.on_server_failure(
+            node.balancer.servers.on_failure(
                 attempt.backend, failure, node.process.wall_time()
             )
             self.run(self.call.on_attempt_failed(attempt, failure, now))
@@ -461,7 +461,7 @@
     def on_connections_lost(self, server: world_module.FakeServer) -> None:
         """A server dropped all connections."""
         self.process.deliver(
-            lambda: self.balancer.on_connections_closed(
+            lambda: self.balancer.servers.on_connections_closed(
                 server.instance.address, self.process.wall_time()
             )
         )
--- a/tests/features/test_promises.py
+++ b/tests/features/test_promises.py
@@ -7,6 +7,7 @@
 from pytest_bdd import parsers
 
 from tarragonlift_lab import faults
+from tarragonlift_lab import injectors
 from tarragonlift_lab import promises
 
 pytest_bdd.scenarios("promises.feature")
@@ -31,7 +32,7 @@
 @pytest_bdd.when(parsers.parse("{fault} happens at the step {step}"))
 def add_fault(site_plan: Site, fault: str, step: str) -> None:
     """Add a fault."""
-    assert fault in faults.INJECTORS
+    assert fault in injectors.INJECTORS
     assert step in faults.STEPS
     site_plan.injections.append((step, fault))
 
--- a/tests/lab/test_faults.py
+++ b/tests/lab/test_faults.py
@@ -14,6 +14,7 @@
 from tarragonlift.core import seats
 from tarragonlift.core import warming
 from tarragonlift_lab import faults
+from tarragonlift_lab import injectors
 from tarragonlift_lab import node
 from tarragonlift_lab import promises
 
@@ -40,7 +41,7 @@
         """No promise falls, whatever happens at this step."""
         broken = {
             fault: found
-            for fault in faults.INJECTORS
+            for fault in injectors.INJECTORS
             if (found := broken_promises((step, fault)))
         }
         assert broken == {}
