--- a/tarragonlift/cli/output.py
+++ b/tarragonlift/cli/output.py
@@ -63,6 +63,8 @@
     lines.append("backend servers:")
     for one in document["backend_servers"]:
         states = [one["warmth"]]
+        if one["warmth"] != "warm":
+            states.append(f"warmed by {one['warmer']}")
         for key in ("leaving", "data_centre_out", "set_aside"):
             if one[key]:
                 states.append(key.replace("_", " "))
--- a/tarragonlift_lab/cli.py
+++ b/tarragonlift_lab/cli.py
@@ -18,6 +18,7 @@
 from tarragonlift_lab import faults as faults_module
 from tarragonlift_lab import faults_report
 from tarragonlift_lab import http
+from tarragonlift_lab import loops as loops_module
 from tarragonlift_lab import platform as platform_module
 from tarragonlift_lab import plots
 from tarragonlift_lab import server as server_module
@@ -193,6 +194,23 @@
         json_file.write_text(json.dumps(document, indent=2))
 
 
+@app.command("loop-server")
+def loop_server(
+    kind: Annotated[str, typer.Option()], ready_file: ReadyOption = None
+) -> None:
+    """Serve a small answer in one of four ways."""
+    loops_module.serve(
+        kind, lambda address: _tell(ready_file, {"address": address})
+    )
+
+
+@app.command()
+def loops() -> None:
+    """Measure four ways to serve a small answer."""
+    for kind, (median, tail) in loops_module.measure().items():
+        print(f"| {kind} | {median} | {tail} |")
+
+
 def _cases(
     experiment: pathlib.Path | None,
     policies: list[str] | None,
--- a/tarragonlift_lab/plots.py
+++ b/tarragonlift_lab/plots.py
@@ -43,6 +43,7 @@
     top.set_ylabel("p99 of lookups, ms")
     bottom.bar(seconds["second"], seconds["failed"])
     bottom.set_ylabel("failed calls")
+    bottom.set_ylim(0, max(1, *seconds["failed"]) * 1.1)
     bottom.set_xlabel("second")
     for name, at in seconds.get("marks", {}).items():
         for axis in (top, bottom):
