Give up on connections that are not established

Cause: a backend server that answers no SYN kept a request until its deadline: the constant for it was never used. Found by looking for unused constants. Change: after 1 s the attempt fails as not run and goes elsewhere; constants without a use are gone.

--- a/tarragonlift/components/data_path/exchange.py
+++ b/tarragonlift/components/data_path/exchange.py
@@ -185,8 +185,14 @@
         self.run(self._call.on_wake(now))
 
     def check_stalled(self, now: float) -> None:
-        """Give up on an answer of which nothing came for long."""
+        """Give up on a connection or an answer that does not come."""
         for run in list(self._runs.values()):
+            waited = now - run.attempt.started_at
+            if not run.connection.established:
+                if waited > const.CONNECT_TIMEOUT_S:
+                    run.connection.abandon()
+                    run.on_failed(sent=False, bad=False)
+                continue
             quiet = now - run.connection.active_at
             if quiet > const.ANSWER_STALL_TIMEOUT_S:
                 run.connection.abandon()
--- a/tarragonlift/const.py
+++ b/tarragonlift/const.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-VERSION = "0.1.0"
-
 HEADER_CASE = "Tarragonlift-Help"
 HEADER_DEADLINE = "Request-Timeout-Ms"
 HEADER_ERROR = "Tarragonlift-Error"
--- /dev/null
+++ b/tests/components/data_path/test_exchange.py
@@ -0,0 +1,47 @@
+"""Tests of an exchange without sockets."""
+
+from __future__ import annotations
+
+from unittest import mock
+
+from tarragonlift.components.data_path import client
+from tarragonlift.components.data_path import exchange as exchange_module
+from tarragonlift.core import call as call_module
+from tarragonlift.core import const
+from tests import common
+
+GET = mock.Mock(
+    method=b"GET",
+    target=b"/stock",
+    headers=[],
+    fields={},
+    peer="10.0.0.1",
+    chunked=False,
+    content_length=0,
+    has_body=False,
+    expects_continue=False,
+)
+
+
+class TestCheckStalled:
+    """What does not come is given up."""
+
+    def test_connection_that_is_not_established(self) -> None:
+        """Nothing was sent, so another server gets the request."""
+        request = common.make_request(deadline_at=1e12)
+        call = call_module.Call(request, common.make_pool())
+        host = mock.Mock(spec=exchange_module.Host)
+        connections = [
+            mock.Mock(spec=client.ClientConnection, established=False)
+            for _ in range(2)
+        ]
+        host.take_connection.side_effect = connections
+        exchange = exchange_module.Exchange(host, mock.Mock(), GET, call)
+        exchange.start(0.0)
+        exchange.check_stalled(0.5)
+        connections[0].abandon.assert_not_called()
+        exchange.check_stalled(1.5)
+        connections[0].abandon.assert_called_once()
+        connections[1].begin.assert_called_once()
+        failure = host.on_failure.call_args.args[1]
+        assert failure is const.AttemptFailure.CONNECT_FAILED
