Say once when a request is held and when a server is told cold

Cause: reading the change again: the check for held requests stood in the balancer and in the call, and two methods told the others of a server that is not warm any more with the same lines. Change: Suspects.is_held and ServerKnowledge._tell_cold serve both. Behaviour is the same.

--- a/tarragonlift/core/balancer.py
+++ b/tarragonlift/core/balancer.py
@@ -248,7 +248,7 @@
             deadline_at=now + (head.timeout_s or service.deadline_s),
             fingerprint=head.fingerprint,
         )
-        if len(self.suspects) and self._is_held(request):
+        if len(self.suspects) and self.suspects.is_held(request):
             raise exceptions.CrashSuspected(const.Outcome.NOT_RUN)
         pool = self._pools[service.name]
         return call_module.Call(request, pool, self.suspects)
@@ -412,11 +412,6 @@
         for item in self.replica.items(replica.KIND_BACKEND):
             self.servers.follow(item)
 
-    def _is_held(self, request: models.Request) -> bool:
-        """Return whether requests like this one are held back."""
-        crashes = self.suspects.crashes(request.fingerprint)
-        return crashes >= request.service.crash_limit
-
     def _follow_members(self, now: float) -> None:
         """Follow who is alive and who counts."""
         members = (self.membership.alive(now), self.membership.known)
--- a/tarragonlift/core/call.py
+++ b/tarragonlift/core/call.py
@@ -336,9 +336,7 @@
         """Return whether requests like this one crash servers."""
         if self._suspects is None:
             return False
-        request = self._request
-        crashes = self._suspects.crashes(request.fingerprint)
-        return crashes >= request.service.crash_limit
+        return self._suspects.is_held(self._request)
 
     def _failure_refusal(
         self, failure: const.AttemptFailure
--- a/tarragonlift/core/servers.py
+++ b/tarragonlift/core/servers.py
@@ -78,11 +78,8 @@
     def set_cold(self, one: pool_module.Backend, wall_time: float) -> None:
         """Treat a backend server as cold, and tell the others."""
         was_warm = one.warmth is const.Warmth.WARM
-        service = self._pool_of(one)
-        service.set_cold(one)
-        if was_warm:
-            self._tell(one, RANK_COLD)
-            self._note(const.EVENT_BACKEND_COLD, one.key, "", wall_time)
+        self._pool_of(one).set_cold(one)
+        self._tell_cold(one, was_warm, "", wall_time)
 
     def on_connections_closed(
         self, address: models.Address, wall_time: float
@@ -91,7 +88,10 @@
         for pool in self._pools.values():
             one = pool.find(str(address))
             if one is not None:
-                self._set_unknown(pool, one, wall_time)
+                was_warm = one.warmth is const.Warmth.WARM
+                pool.set_unknown(one)
+                detail = "connections lost"
+                self._tell_cold(one, was_warm, detail, wall_time)
 
     def on_warm(self, key: str) -> None:
         """Tell the others that a backend server is warm."""
@@ -115,18 +115,16 @@
         elif one.warmth is const.Warmth.WARM:
             pool.set_unknown(one)
 
-    def _set_unknown(
+    def _tell_cold(
         self,
-        pool: pool_module.ServicePool,
         one: pool_module.Backend,
+        was_warm: bool,
+        detail: str,
         wall_time: float,
     ) -> None:
-        """Treat a server that may have restarted as cold; tell the others."""
-        was_warm = one.warmth is const.Warmth.WARM
-        pool.set_unknown(one)
+        """Tell the others of a server that was warm and is not any more."""
         if was_warm:
             self._tell(one, RANK_COLD)
-            detail = "connections lost"
             self._note(const.EVENT_BACKEND_COLD, one.key, detail, wall_time)
 
     def _on_start_id(self, one: pool_module.Backend, start_id: str) -> None:
--- a/tarragonlift/core/suspects.py
+++ b/tarragonlift/core/suspects.py
@@ -12,6 +12,7 @@
 
 import attrs
 
+from tarragonlift.core import models
 from tarragonlift.core import replica
 
 SEPARATOR = "/"
@@ -44,6 +45,11 @@
         """Return the crashes of a request, over all daemons."""
         return self._crashes.get(fingerprint, 0)
 
+    def is_held(self, request: models.Request) -> bool:
+        """Return whether requests like this one are held back."""
+        crashes = self.crashes(request.fingerprint)
+        return crashes >= request.service.crash_limit
+
     def add_crash(self, fingerprint: str, route: str) -> int:
         """Count a connection that died; return the crashes in all."""
         if len(self._crashes) >= SUSPECTS_MOST:
