--- a/tarragonlift/components/data_path/caller.py
+++ b/tarragonlift/components/data_path/caller.py
@@ -14,9 +14,15 @@
 from tarragonlift.components.data_path import poller as poller_module
 from tarragonlift.components.data_path import stream
 from tarragonlift.core import const as core_const
+from tarragonlift.core.fleet import models as fleet_models
 from tarragonlift import exceptions
 
 Headers = list[tuple[bytes, bytes]]
+DEFAULT_LIMITS = fleet_models.CallerLimits(
+    head_bytes=const.HEAD_BYTES_MOST,
+    head_timeout_s=const.HEAD_TIMEOUT_S,
+    idle_timeout_s=const.IDLE_TIMEOUT_S,
+)
 
 
 @attrs.define
@@ -101,9 +107,11 @@
         sock: socket.socket,
         peer: str,
         acceptor: Acceptor,
+        limits: fleet_models.CallerLimits = DEFAULT_LIMITS,
     ) -> None:
         """Serve a connection that was accepted."""
         super().__init__(poller, sock)
+        self.limits = limits
         self._peer = peer
         self._acceptor = acceptor
         self._parser = httptools.HttpRequestParser(self)
@@ -183,9 +191,9 @@
         elif self._listener is not None:
             self._check_body_timeout(now)
         elif self._in_head:
-            if now - self._head_since > const.HEAD_TIMEOUT_S:
+            if now - self._head_since > self.limits.head_timeout_s:
                 self._refuse(self._slow())
-        elif now - self.active_at > const.IDLE_TIMEOUT_S:
+        elif now - self.active_at > self.limits.idle_timeout_s:
             self.close()
             self.on_end()
 
@@ -205,7 +213,7 @@
             self._refusal = self._refusal or _bad_request()
         except httptools.HttpParserError:
             self._refusal = self._refusal or _bad_request()
-        if self._in_head and self._head_bytes > const.HEAD_BYTES_MOST:
+        if self._in_head and self._head_bytes > self.limits.head_bytes:
             self._refusal = exceptions.HeadTooLarge(_NOT_RUN)
         if self._refusal is not None:
             self._refuse(self._refusal)
--- a/tarragonlift/components/data_path/client.py
+++ b/tarragonlift/components/data_path/client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import abc
+import math
 import socket
 
 import attrs
@@ -28,6 +29,7 @@
     content_length: int | None = None
     chunked: bool = False
     keep_alive: bool = True
+    idle_limit_s: float = math.inf
 
     @property
     def framed(self) -> bool:
@@ -49,6 +51,14 @@
 class AnswerListener(abc.ABC):
     """Takes the answer to one request."""
 
+    def wants(self, head: AnswerHead) -> bool:
+        """Return whether the answer belongs to the request.
+
+        One that does not is passed over: a server may send an answer to an
+        earlier request once more.
+        """
+        return True
+
     @abc.abstractmethod
     def on_head(self, head: AnswerHead) -> None:
         """Take the head of the answer."""
@@ -95,6 +105,8 @@
         self._headers: Headers = []
         self._bad = False
         self._sent = False
+        self._passing_over = False
+        self.idle_limit_s = math.inf
         self._parser = httptools.HttpResponseParser(self)
 
     @property
@@ -153,6 +165,9 @@
         if listener is None:
             self.on_idle_closed(self)
             return
+        if self.ended and self._ends_with_connection:
+            listener.on_complete()
+            return
         listener.on_failed(self._sent, self._bad)
 
     def on_writable(self) -> None:
@@ -178,7 +193,11 @@
         head = _read_head(status, self._headers)
         if self._parser.get_http_version() != "1.1":
             head.keep_alive = False
+        if not self._listener.wants(head):
+            self._passing_over = True
+            return
         self._head = head
+        self.idle_limit_s = head.idle_limit_s
         self._listener.on_head(head)
         if self._is_head_request and self._listener is not None:
             self._finish()
@@ -186,6 +205,8 @@
 
     def on_body(self, data: bytes) -> None:
         """Take a part of a body (called by the parser)."""
+        if self._passing_over:
+            return
         if self._bad or self._listener is None:
             self._bad = True
             return
@@ -193,9 +214,19 @@
 
     def on_message_complete(self) -> None:
         """Take the end of an answer (called by the parser)."""
+        if self._passing_over:
+            self._passing_over = False
+            self._headers = []
+            return
         if self._head is not None and not self._is_head_request:
             self._finish()
 
+    @property
+    def _ends_with_connection(self) -> bool:
+        """Return whether the answer's end is that of the connection."""
+        head = self._head
+        return head is not None and not head.framed and not self._bad
+
     def _finish(self) -> None:
         """Hand over a whole answer."""
         listener, self._listener = self._listener, None
@@ -221,4 +252,15 @@
             head.chunked = value.lower() == b"chunked"
         elif lower == b"connection" and b"close" in value.lower():
             head.keep_alive = False
+        elif lower == b"keep-alive":
+            head.idle_limit_s = _idle_limit(value)
     return head
+
+
+def _idle_limit(value: bytes) -> float:
+    """Return the timeout in a Keep-Alive field, in seconds."""
+    for part in value.split(b","):
+        name, _, number = part.strip().partition(b"=")
+        if name.lower() == b"timeout" and number.isdigit():
+            return float(number)
+    return math.inf
--- a/tarragonlift/components/data_path/connections.py
+++ b/tarragonlift/components/data_path/connections.py
@@ -4,6 +4,7 @@
 
 import collections
 from collections import abc
+import math
 import time
 
 from tarragonlift.components.data_path import client
@@ -28,10 +29,16 @@
         self._on_closed = on_closed
         self._idle: dict[models.Address, collections.deque[Connection]] = {}
 
-    def take(self, address: models.Address) -> Connection | None:
-        """Return a connection, a new one if none is idle."""
+    def take(
+        self, address: models.Address, used_since: float = -math.inf
+    ) -> Connection | None:
+        """Return a connection, a new one if none is idle.
+
+        An idle one is taken only if an answer came on it after
+        ``used_since``, a time of the monotonic clock.
+        """
         idle = self._idle.get(address)
-        while idle:
+        while idle and idle[-1].active_at >= used_since:
             connection = idle.pop()
             if connection.reusable:
                 connection.used = True
@@ -96,4 +103,6 @@
 
 def _is_old(connection: Connection, now: float) -> bool:
     """Return whether the connection was idle too long."""
-    return now - connection.active_at > const.BACKEND_IDLE_TIMEOUT_S
+    limit = connection.idle_limit_s - const.IDLE_LIMIT_MARGIN_S
+    limit = min(limit, const.BACKEND_IDLE_TIMEOUT_S)
+    return now - connection.active_at > limit
--- a/tarragonlift/components/data_path/messages.py
+++ b/tarragonlift/components/data_path/messages.py
@@ -58,7 +58,7 @@
 
 def request_prefix(head: caller.RequestHead, request_id: str) -> bytes:
     """Return the head for a backend server, without deadline and end."""
-    dropped = _dropped(NOT_FORWARDED, head.fields.get(b"connection"))
+    dropped = dropped_fields(NOT_FORWARDED, head.fields.get(b"connection"))
     parts = [b"%b %b HTTP/1.1\r\n" % (head.method, head.target)]
     for name, value in head.headers:
         if name.lower() not in dropped:
@@ -85,8 +85,8 @@
     head: client.AnswerHead, request_id: str, close: bool
 ) -> bytes:
     """Return the head of a backend server's answer for the caller."""
-    dropped = _dropped(NOT_RELAYED, head.get(b"connection"))
-    parts = [_status_line(head.status)]
+    dropped = dropped_fields(NOT_RELAYED, head.get(b"connection"))
+    parts = [status_line(head.status)]
     for name, value in head.headers:
         if name.lower() not in dropped:
             parts.append(b"%b: %b\r\n" % (name, value))
@@ -106,7 +106,7 @@
 def recorded_answer(answer: models.RecordedAnswer, request_id: str) -> bytes:
     """Return an answer that was kept, as a whole."""
     body = answer.body or b""
-    parts = [_status_line(answer.status)]
+    parts = [status_line(answer.status)]
     for name, value in answer.headers:
         if name.lower() not in NOT_RELAYED:
             parts.append(b"%b: %b\r\n" % (name, value))
@@ -128,8 +128,9 @@
     request_id: str,
     is_head: bool = False,
     close: bool = False,
+    extra: dict[str, object] | None = None,
 ) -> bytes:
-    """Return the whole answer for a refusal."""
+    """Return the whole answer for a refusal, with further fields."""
     body = orjson.dumps(
         {
             "error": error.code,
@@ -147,6 +148,7 @@
         const.HEADER_REQUEST: request_id,
         const.HEADER_CASE: const.PATH_CASES,
     }
+    fields.update(extra or {})
     if close:
         fields["Connection"] = "close"
     return plain(error.status, fields, b"" if is_head else body)
@@ -155,15 +157,15 @@
 def plain(status: int, fields: dict[str, object], body: bytes) -> bytes:
     """Return an answer from its fields."""
     lines = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
-    return _status_line(status) + lines.encode("latin-1") + b"\r\n" + body
+    return status_line(status) + lines.encode("latin-1") + b"\r\n" + body
 
 
-def _status_line(status: int) -> bytes:
+def status_line(status: int) -> bytes:
     """Return the first line of an answer."""
     return b"HTTP/1.1 %d %b\r\n" % (status, _REASONS.get(status, b"Status"))
 
 
-def _dropped(
+def dropped_fields(
     base: frozenset[bytes], connection: bytes | None
 ) -> frozenset[bytes]:
     """Return the fields to drop, with those that Connection names."""
--- a/tarragonlift/components/data_path/server.py
+++ b/tarragonlift/components/data_path/server.py
@@ -36,6 +36,8 @@
 class OwnPages(abc.ABC):
     """Answers the paths that belong to tarragonlift itself."""
 
+    content_type = "application/json"
+
     @abc.abstractmethod
     def answer(
         self, head: caller.RequestHead, body: bytes
@@ -142,13 +144,13 @@
         now = time.monotonic()
         request_id = self._balancer.new_request_id()
         if head.target.startswith(OWN_PREFIX):
-            return _OwnRequest(connection, head, self._own_pages)
+            return OwnRequest(connection, head, self._own_pages)
         self._metrics.count("calls")
         try:
             call = self._balancer.open_call(_facts(head, request_id), now)
         except exceptions.Refusal as refusal:
             self._metrics.count(f"refused.{refusal.code}")
-            return _Refused(connection, head, refusal, request_id)
+            return Refused(connection, head, refusal, request_id)
         exchange = Exchange(self, connection, head, call)
         self._exchanges[call] = exchange
         self._poller.call_soon(lambda: exchange.start(now))
@@ -194,7 +196,7 @@
         self._balancer.servers.on_headers(
             attempt.backend,
             start_id.decode("latin-1") if start_id else "",
-            _number(load),
+            number(load),
             time.monotonic(),
         )
 
@@ -296,7 +298,7 @@
         self._balancer.servers.on_connections_closed(address, time.time())
 
 
-class _Ignoring(caller.RequestListener):
+class Ignoring(caller.RequestListener):
     """A request whose body has no use."""
 
     def on_body(self, data: bytes) -> None:
@@ -315,7 +317,7 @@
         """Do nothing: the answer was given."""
 
 
-class _Refused(_Ignoring):
+class Refused(Ignoring):
     """A request that is refused by its head alone."""
 
     def __init__(
@@ -324,12 +326,14 @@
         head: caller.RequestHead,
         refusal: exceptions.Refusal,
         request_id: str,
+        extra: dict[str, object] | None = None,
     ) -> None:
-        """Answer at once, or after a short body."""
+        """Answer at once, or after a short body, with further fields."""
         self._connection = connection
         self._head = head
         self._refusal = refusal
         self._request_id = request_id
+        self._extra = extra
         if head.has_body and (
             head.chunked
             or head.expects_continue
@@ -351,12 +355,13 @@
                 self._request_id,
                 self._head.method == b"HEAD",
                 close,
+                self._extra,
             )
         )
         self._connection.finish_answer(keep_alive=not close)
 
 
-class _OwnRequest(_Ignoring):
+class OwnRequest(Ignoring):
     """A request for one of tarragonlift's own paths."""
 
     def __init__(
@@ -382,7 +387,7 @@
         """Answer."""
         status, body = self._pages.answer(self._head, b"".join(self._body))
         fields = {
-            "Content-Type": "application/json",
+            "Content-Type": self._pages.content_type,
             "Content-Length": len(body),
         }
         shown = b"" if self._head.method == b"HEAD" else body
@@ -396,7 +401,7 @@
     """Return what the core needs of the head."""
     target = head.target.decode("latin-1")
     method = head.method.decode("latin-1")
-    timeout = _number(head.fields.get(DEADLINE))
+    timeout = number(head.fields.get(DEADLINE))
     host = head.fields.get(b"host", b"").decode("latin-1").lower()
     return balancer_module.RequestFacts(
         request_id=request_id,
@@ -412,7 +417,7 @@
     )
 
 
-def _number(value: bytes | None) -> float:
+def number(value: bytes | None) -> float:
     """Return the number in a header field, 0 if there is none."""
     try:
         return float(value) if value else 0.0
--- a/tarragonlift/components/data_path/stream.py
+++ b/tarragonlift/components/data_path/stream.py
@@ -33,6 +33,8 @@
         self._connecting = connecting
         self._closed = False
         self._closing = False
+        # The other side ended the stream in order, without a reset.
+        self.ended = False
         self._reading = True
         self._dirty = False
         self._pending: collections.deque[bytes] = collections.deque()
@@ -150,6 +152,7 @@
             self._fail()
             return
         if not data:
+            self.ended = True
             self._fail()
             return
         if not self._closing:
@@ -272,6 +275,7 @@
     """Return a socket that is being connected, or None on failure."""
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     sock.setblocking(False)
+    _detect_silence(sock)
     try:
         sock.connect((address.host, address.port))
     except BlockingIOError:
@@ -280,3 +284,13 @@
         sock.close()
         return None
     return sock
+
+
+def _detect_silence(sock: socket.socket) -> None:
+    """Let the kernel end a connection whose other side does not answer."""
+    tcp = socket.IPPROTO_TCP
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(tcp, socket.TCP_KEEPIDLE, const.KEEPALIVE_IDLE_S)
+    sock.setsockopt(tcp, socket.TCP_KEEPINTVL, const.KEEPALIVE_INTERVAL_S)
+    sock.setsockopt(tcp, socket.TCP_KEEPCNT, const.KEEPALIVE_PROBES)
+    sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, const.UNACKED_MOST_MS)
--- /dev/null
+++ b/tarragonlift/components/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Serves callers in front of a fleet that a platform lists."""
--- /dev/null
+++ b/tarragonlift/components/gateway/const.py
@@ -0,0 +1,49 @@
+"""Limits of the parts round the delivery over a listed fleet."""
+
+from __future__ import annotations
+
+# Longest request body that is read whole before a server is chosen, bytes.
+BODY_KEPT_BYTES = 1 << 20
+# Longest answer that is read whole before its head is passed on, bytes.
+ANSWER_KEPT_BYTES = 1 << 18
+# Seconds since its last answer within which a kept connection may carry a
+# request: servers forget idle connections without notice.
+PROVEN_S = 0.5
+# Seconds for which an attempt whose caller was answered may go on.
+LEFT_OVER_S = 10.0
+# Time that a request without a deadline gets, in seconds.
+DEADLINE_DEFAULT_S = 30.0
+# Part of the caller's time kept back for the way of the answer, seconds.
+ANSWER_WAY_S = 0.01
+
+# Seconds for which a request waits for probes: several times their round
+# trip between data centres.
+PROBE_WAIT_S = 0.02
+# Seconds that a probe's answer may take before its connection is closed.
+PROBE_TIMEOUT_S = 1.0
+
+# Part of the time within which a leaving server must be known that passes
+# between two readings of the list; the rest is for the reading itself.
+LIST_SHARE = 0.65
+# Seconds until the next try after the store failed.
+RETRY_S = 0.25
+# Longest wait of one call for changes of the configuration, seconds: the
+# longest that the platform allows less the way there.
+WAIT_S = 25.0
+# Seconds between two looks at the rows of the daemons, the first few early
+# because all daemons start together.
+MEMBERS_EARLY_S = (0.5, 3.0)
+MEMBERS_S = 30.0
+# Seconds after which a daemon's row that was not written again is void.
+MEMBER_VOID_S = 120.0
+
+# Seconds after SIGTERM for which new requests are taken: the platform sends
+# new connections until two of its checks, one a second, have failed.
+TAKE_ON_S = 3.0
+# Part of the time to stop after which the process ends in any case.
+STOP_SHARE = 0.93
+
+TICK_S = 0.1
+SWEEP_S = 0.5
+# Seconds between two looks at the settings file.
+SETTINGS_S = 1.0
--- /dev/null
+++ b/tarragonlift/components/gateway/daemon.py
@@ -0,0 +1,178 @@
+"""The daemon of a listed fleet: joins all parts on one loop."""
+
+from __future__ import annotations
+
+import random
+import signal
+import time
+from typing import Any
+
+import attrs
+import circuits
+
+from tarragonlift.components.data_path import poller as poller_module
+from tarragonlift.components.gateway import const
+from tarragonlift.components.gateway import dialect as dialect_module
+from tarragonlift.components.gateway import follower
+from tarragonlift.components.gateway import gateway
+from tarragonlift.components.gateway import pages
+from tarragonlift.components import logs
+from tarragonlift.components.logs import writer
+from tarragonlift.components import metrics
+from tarragonlift.core import models
+from tarragonlift.core.fleet import const as fleet_const
+from tarragonlift.core.fleet import doors
+from tarragonlift.core.fleet import fleet as fleet_module
+from tarragonlift.core.fleet import members
+
+METRICS_PATH = "/metrics"
+
+
+@attrs.frozen
+class FleetSettings:
+    """Settings of a daemon's process.
+
+    ``known_within_s`` is the time within which the leaving of a server must
+    be known; ``stop_within_s`` that from SIGTERM to SIGKILL.
+    """
+
+    daemon: str
+    data_centre: str
+    listen: models.Address
+    ready: models.Address
+    peer: models.Address
+    metrics: models.Address | None
+    seeds: tuple[models.Address, ...] = ()
+    known_within_s: float = 2.0
+    stop_within_s: float = 6.0
+    extra_calls: fleet_module.ExtraCalls = fleet_module.ExtraCalls()
+    crossing_loss_per_kib: float = fleet_const.CROSSING_LOSS_PER_KIB
+
+
+class FleetDaemon(circuits.Component):  # type: ignore[misc]
+    """One daemon in front of a listed fleet."""
+
+    channel = "daemon"
+
+    def __init__(
+        self,
+        settings: FleetSettings,
+        dialect: dialect_module.Dialect,
+        log_writer: writer.LogWriter,
+    ) -> None:
+        """Create all parts; ``use_store`` and ``run`` begin."""
+        super().__init__()
+        self._settings = settings
+        self._log_writer = log_writer
+        self._rng = random.Random()
+        self._stopping_since: float | None = None
+        self._accepting = True
+        self._reload_wanted = False
+        self._poller = poller_module.DataPoller(logs.log_error)
+        self._poller.register(self)
+        self._metrics = metrics.create_recorder(None)
+        own = members.Member(
+            settings.daemon, settings.data_centre, settings.peer
+        )
+        self._fleet = fleet_module.Fleet(
+            own,
+            settings.extra_calls,
+            settings.crossing_loss_per_kib,
+            self._rng,
+        )
+        self._gateway = gateway.Gateway(
+            self._poller, self._fleet, dialect, self._metrics
+        )
+        self._follower: follower.Follower | None = None
+        ready = pages.ReadyPage(dialect.ready_path, self.is_ready)
+        self._ready = pages.PageListener(self._poller, ready)
+        shown = pages.MetricsPage(METRICS_PATH, self._metrics)
+        self._shown = pages.PageListener(self._poller, shown)
+
+    @property
+    def poller(self) -> poller_module.DataPoller:
+        """Return the loop's poller, for the client of the platform."""
+        return self._poller
+
+    def use_store(self, store: doors.FleetStore) -> None:
+        """Follow this store from the start."""
+        self._follower = follower.Follower(
+            self._poller,
+            store,
+            self._fleet,
+            self._metrics,
+            self._settings.known_within_s,
+            self._rng,
+        )
+
+    def is_ready(self) -> bool:
+        """Return whether callers should be sent to this daemon."""
+        return self._stopping_since is None and self._fleet.is_informed
+
+    @circuits.handler("started", channel="*")
+    def _on_started(self, *args: Any) -> None:
+        """Begin to work."""
+        signal.signal(signal.SIGTERM, self._on_stop_signal)
+        signal.signal(signal.SIGINT, self._on_stop_signal)
+        signal.signal(signal.SIGHUP, self._on_reload_signal)
+        settings = self._settings
+        if self._follower is not None:
+            self._follower.start()
+        self._ready.listen(settings.ready)
+        if settings.metrics is not None:
+            self._shown.listen(settings.metrics)
+        address = self._gateway.listen(settings.listen)
+        logs.log_belief(
+            "start",
+            daemon=settings.daemon,
+            data_centre=settings.data_centre,
+            listen=str(address),
+        )
+        self._tick(time.monotonic())
+
+    def _on_stop_signal(self, number: int, frame: Any) -> None:
+        """Begin the graceful stop."""
+        if self._stopping_since is None:
+            self._stopping_since = time.monotonic()
+
+    def _on_reload_signal(self, number: int, frame: Any) -> None:
+        """Look at the settings file soon."""
+        self._reload_wanted = True
+
+    def _tick(self, now: float) -> None:
+        """Do what is due at short intervals."""
+        self._poller.call_at(now + const.TICK_S, self._tick)
+        if self._reload_wanted:
+            self._reload_wanted = False
+            logs.log_belief("reload", reason="signal")
+        if self._stopping_since is not None:
+            self._go_on_stopping(now)
+        self._metrics.gauge("in_progress", self._gateway.in_progress)
+        self._metrics.gauge("configuration", self._fleet.version)
+        self._metrics.gauge("log_lines_lost", self._log_writer.dropped_total)
+        self._metrics.flush()
+        self._ready.sweep(now)
+        self._log_writer.flush()
+
+    def _go_on_stopping(self, now: float) -> None:
+        """Take the next step of the graceful stop."""
+        since = self._stopping_since or now
+        if not self._gateway.stopping:
+            logs.log_belief("stop", in_progress=self._gateway.in_progress)
+            self._gateway.set_stopping(since)
+            if self._follower is not None:
+                self._follower.stop()
+        if now - since < const.TAKE_ON_S:
+            return
+        if self._accepting:
+            self._accepting = False
+            self._gateway.stop_accepting()
+        limit = self._settings.stop_within_s * const.STOP_SHARE
+        if self._gateway.busy and now - since < limit:
+            return
+        logs.log_belief("stopped", in_progress=self._gateway.in_progress)
+        self._log_writer.flush()
+        self._gateway.close()
+        self._ready.close()
+        self._shown.close()
+        self.stop()
--- /dev/null
+++ b/tarragonlift/components/gateway/exchange.py
@@ -0,0 +1,505 @@
+"""One routed request and its answer: carries out what the core decides."""
+
+from __future__ import annotations
+
+import abc
+import time
+
+import xxhash
+
+from tarragonlift.components.data_path import caller
+from tarragonlift.components.data_path import client
+from tarragonlift.components.data_path import messages
+from tarragonlift.components.gateway import const
+from tarragonlift.components.gateway import dialect as dialect_module
+from tarragonlift.components.gateway import heads
+from tarragonlift.core import actions
+from tarragonlift.core import const as core_const
+from tarragonlift.core.fleet import delivery as delivery_module
+from tarragonlift import exceptions
+
+Failure = core_const.AttemptFailure
+Verdict = delivery_module.Verdict
+_NOT_RUN = core_const.Outcome.NOT_RUN
+
+
+class Host(abc.ABC):
+    """What an exchange needs of the gateway."""
+
+    dialect: dialect_module.Dialect
+
+    @property
+    @abc.abstractmethod
+    def stopping(self) -> bool:
+        """Return whether callers are asked to go elsewhere."""
+
+    @abc.abstractmethod
+    def connect(
+        self, attempt: actions.Attempt
+    ) -> client.ClientConnection | None:
+        """Return a connection to the attempt's server."""
+
+    @abc.abstractmethod
+    def give_back(self, connection: client.ClientConnection) -> None:
+        """Keep or close a connection whose answer was whole."""
+
+    @abc.abstractmethod
+    def carry_out(self, exchange: Exchange, action: actions.Action) -> None:
+        """Do what concerns more than this exchange."""
+
+    @abc.abstractmethod
+    def note(self, exchange: Exchange, decision: str, **facts: object) -> None:
+        """Log a decision about the request."""
+
+    @abc.abstractmethod
+    def refusal_fields(
+        self, exchange: Exchange, refusal: exceptions.Refusal
+    ) -> dict[str, object]:
+        """Return the fields of an answer made by tarragonlift itself."""
+
+    @abc.abstractmethod
+    def on_done(self, exchange: Exchange) -> None:
+        """Forget the exchange."""
+
+
+class AttemptRun(client.AnswerListener):
+    """One attempt on its connection."""
+
+    def __init__(
+        self,
+        exchange: Exchange,
+        attempt: actions.Attempt,
+        connection: client.ClientConnection,
+    ) -> None:
+        """Run the attempt on the connection."""
+        self.attempt = attempt
+        self.connection = connection
+        self.head: client.AnswerHead | None = None
+        self.body: list[bytes] = []
+        self.body_bytes = 0
+        self.body_sent = False
+        self.streaming = False
+        self._exchange = exchange
+
+    def wants(self, head: client.AnswerHead) -> bool:
+        """Pass over answers that belong to other requests."""
+        return self._exchange.belongs(head)
+
+    def on_head(self, head: client.AnswerHead) -> None:
+        """Take the head of the answer."""
+        self.head = head
+
+    def on_body(self, data: bytes) -> None:
+        """Take a part of the body."""
+        self.body_bytes += len(data)
+        self._exchange.on_answer_body(self, data)
+
+    def on_complete(self) -> None:
+        """The answer is whole."""
+        self._exchange.on_answer_complete(self)
+
+    def on_failed(self, sent: bool, bad: bool) -> None:
+        """The connection ended first."""
+        failure = Failure.BROKEN_BEFORE_ANSWER
+        if not sent:
+            failure = Failure.CONNECT_FAILED
+        elif self.head is not None:
+            failure = Failure.BROKEN_IN_ANSWER
+        elif bad:
+            failure = Failure.BAD_ANSWER
+        self._exchange.on_run_failed(self, failure)
+
+    def on_writable(self) -> None:
+        """The server takes more of the body."""
+        self._exchange.on_server_writable()
+
+
+class Exchange(caller.RequestListener):
+    """Moves bytes between a caller and the servers of one request."""
+
+    def __init__(
+        self,
+        host: Host,
+        connection: caller.CallerConnection,
+        head: caller.RequestHead,
+        delivery: delivery_module.Delivery,
+    ) -> None:
+        """Wait for the request's body."""
+        self._host = host
+        self._connection: caller.CallerConnection | None = connection
+        self._head = head
+        self._delivery = delivery
+        self._prefix = heads.request_prefix(head, host.dialect.own_fields)
+        self._is_head = head.method == b"HEAD"
+        self._runs: dict[actions.Attempt, AttemptRun] = {}
+        self._answers: dict[actions.Attempt, AttemptRun] = {}
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._body_complete = False
+        self._started = False
+        self._answered = False
+
+    @property
+    def delivery(self) -> delivery_module.Delivery:
+        """Return the request's decisions."""
+        return self._delivery
+
+    @property
+    def has_caller(self) -> bool:
+        """Return whether the caller still waits for its answer."""
+        return self._connection is not None
+
+    @property
+    def body_bytes(self) -> int:
+        """Return how much of the body has come."""
+        return self._body_bytes
+
+    @property
+    def whole_body(self) -> bytes:
+        """Return what is kept of the body."""
+        return b"".join(self._body)
+
+    def belongs(self, head: client.AnswerHead) -> bool:
+        """Return whether an answer is one to this request."""
+        request_id = self._delivery.request.request_id
+        return self._host.dialect.belongs(head, request_id)
+
+    def run(self, wanted: list[actions.Action]) -> None:
+        """Carry out actions one after the other."""
+        for action in wanted:
+            if isinstance(action, actions.Send):
+                self._send(action.attempt)
+            elif isinstance(action, actions.Relay):
+                self._relay(action.attempt)
+            elif isinstance(action, actions.Refuse):
+                self._refuse(action.refusal)
+            elif isinstance(action, actions.Abandon):
+                self._abandon(action.attempt)
+            else:
+                self._host.carry_out(self, action)
+        if self._delivery.phase is delivery_module.Phase.DONE:
+            if not self._runs:
+                self._host.on_done(self)
+
+    def check_left_over(self, now: float) -> None:
+        """Close attempts that go on long after the caller's time."""
+        request = self._delivery.request
+        if now < request.deadline_at + const.LEFT_OVER_S:
+            return
+        for run in list(self._runs.values()):
+            run.connection.abandon()
+            run.on_failed(sent=True, bad=False)
+
+    def on_body(self, data: bytes) -> None:
+        """Take a part of the request's body."""
+        self._body_bytes += len(data)
+        connection = self._connection
+        if connection is None:
+            return
+        if self._body_bytes > connection.limits.body_bytes:
+            self.on_body_refused(exceptions.BodyTooLarge(_NOT_RUN))
+            return
+        if self._delivery.replayable:
+            self._body.append(data)
+        for run in self._runs.values():
+            self._send_body(run, data)
+        if self._body_bytes > const.BODY_KEPT_BYTES:
+            self._stop_keeping()
+
+    def on_body_complete(self) -> None:
+        """The request's body is whole."""
+        self._body_complete = True
+        self._start()
+        for run in self._runs.values():
+            self._end_body(run)
+
+    def on_body_refused(self, refusal: exceptions.Refusal) -> None:
+        """The rest of the body is not acceptable."""
+        if self._runs:
+            # A part was sent: a status that states "not run" would be wrong.
+            refusal = exceptions.BackendFailed(core_const.Outcome.UNKNOWN)
+        self._refuse(refusal)
+        self.run(self._delivery.on_body_broken())
+
+    def on_writable(self) -> None:
+        """The caller takes more of the answer."""
+        for run in self._runs.values():
+            run.connection.resume_reading()
+
+    def on_server_writable(self) -> None:
+        """A server takes more of the request's body."""
+        if self._connection is not None:
+            self._connection.resume_reading()
+
+    def on_caller_gone(self) -> None:
+        """The caller closed its connection."""
+        self._connection = None
+        if self._delivery.phase is not delivery_module.Phase.DONE:
+            self._host.note(self, "caller_gone")
+        if self._body_complete:
+            self.run(self._delivery.on_caller_gone())
+        else:
+            self.run(self._delivery.on_body_broken())
+
+    def on_answer_body(self, run: AttemptRun, data: bytes) -> None:
+        """Take a part of an answer's body."""
+        if run.streaming:
+            self._stream_answer(run, data)
+            return
+        run.body.append(data)
+        if run.body_bytes > const.ANSWER_KEPT_BYTES:
+            self._begin_streaming(run)
+
+    def on_answer_complete(self, run: AttemptRun) -> None:
+        """Take the end of an answer."""
+        self._runs.pop(run.attempt, None)
+        self._release(run)
+        if run.streaming:
+            self._end_streaming(run)
+            return
+        assert run.head is not None  # noqa: S101 - a whole answer has one
+        self._answers[run.attempt] = run
+        self._on_verdict(run, self._host.dialect.verdict(run.head))
+
+    def on_run_failed(self, run: AttemptRun, failure: Failure) -> None:
+        """The connection of an attempt ended before its answer."""
+        if self._runs.pop(run.attempt, None) is None:
+            return
+        self._host.note(
+            self,
+            "attempt_failed",
+            server=run.attempt.backend.server_id,
+            failure=failure.value,
+            after_ms=_ms(time.monotonic() - run.attempt.started_at),
+        )
+        if run.streaming:
+            self._cut_short()
+        now = time.monotonic()
+        self.run(self._delivery.on_failed(run.attempt, failure, now))
+
+    def _start(self) -> None:
+        """Let the core decide, now that the body is known."""
+        if self._started or self._answered:
+            return
+        self._started = True
+        self._delivery.body_bytes = self._body_bytes
+        self._delivery.fingerprint = self._fingerprint()
+        self.run(self._delivery.start(time.monotonic()))
+
+    def _fingerprint(self) -> str:
+        """Return what tells a request that comes again from others."""
+        digest = xxhash.xxh64(self._head.method)
+        digest.update(self._head.fields.get(b"host", b""))
+        digest.update(self._head.target)
+        digest.update(self.whole_body)
+        return digest.hexdigest()
+
+    def _stop_keeping(self) -> None:
+        """Send a long body on while it comes; it can't be sent again."""
+        if not self._delivery.replayable:
+            return
+        self._start()
+        if self._runs or self._answered:
+            self._delivery.replayable = False
+            self._body = []
+        elif self._connection is not None:
+            self._connection.pause_reading()
+
+    def _on_verdict(self, run: AttemptRun, verdict: Verdict) -> None:
+        """Let the core decide what follows an answer."""
+        now = time.monotonic()
+        head = run.head
+        assert head is not None  # noqa: S101 - a verdict needs a head
+        server = run.attempt.backend
+        load = self._host.dialect.load(head)
+        if load is not None and verdict is Verdict.SUCCESS:
+            server.take_load(load, now)
+        if verdict is not Verdict.SUCCESS:
+            self._host.note(
+                self,
+                "answer_not_success",
+                server=server.server_id,
+                status=head.status,
+                verdict=verdict.value,
+                after_ms=_ms(now - run.attempt.started_at),
+            )
+        self.run(self._delivery.on_answer(run.attempt, verdict, now))
+
+    def _send(self, attempt: actions.Attempt) -> None:
+        """Send the request, with what has come of its body."""
+        now = time.monotonic()
+        connection = self._host.connect(attempt)
+        if connection is None:
+            failure = Failure.CONNECT_FAILED
+            self.run(self._delivery.on_failed(attempt, failure, now))
+            return
+        run = AttemptRun(self, attempt, connection)
+        self._runs[attempt] = run
+        request = self._delivery.request
+        length = self._body_bytes if self._body_complete else None
+        data = [
+            self._prefix,
+            self._host.dialect.request_fields(
+                attempt.backend.server_id, request.final_at - now
+            ),
+            heads.body_fields(self._head, length),
+            b"\r\n",
+        ]
+        if self._body:
+            data.append(self._framed(self.whole_body))
+        run.body_sent = self._body_complete
+        connection.begin(b"".join(data), run, self._is_head)
+        if not self._body_complete and self._connection is not None:
+            self._delivery.replayable = False
+            self._body = []
+            self._connection.resume_reading()
+
+    def _send_body(self, run: AttemptRun, data: bytes) -> None:
+        """Send a part of the body on."""
+        run.connection.write(self._framed(data))
+        if run.connection.congested and self._connection is not None:
+            self._connection.pause_reading()
+
+    def _end_body(self, run: AttemptRun) -> None:
+        """Send the end of the body."""
+        if not run.body_sent and self._head.chunked:
+            run.connection.write(messages.LAST_CHUNK)
+        run.body_sent = True
+
+    def _framed(self, data: bytes) -> bytes:
+        """Return a part of the body as it goes to a server."""
+        if self._head.chunked and not self._body_complete:
+            return messages.chunk(data)
+        return data
+
+    def _release(self, run: AttemptRun) -> None:
+        """Keep the connection where nothing of the request is left."""
+        run.connection.resume_reading()
+        if run.body_sent:
+            self._host.give_back(run.connection)
+        else:
+            run.connection.abandon()
+
+    def _relay(self, attempt: actions.Attempt) -> None:
+        """Pass a whole answer on."""
+        run = self._answers.pop(attempt)
+        connection = self._connection
+        if connection is None or run.head is None:
+            return
+        body = b"" if self._is_head else b"".join(run.body)
+        self._note_answered(run)
+        self._write_head(run, len(body))
+        connection.write(body)
+        self._finish()
+
+    def _write_head(self, run: AttemptRun, length: int | None) -> None:
+        """Write the head of a server's answer."""
+        connection = self._connection
+        assert connection is not None  # noqa: S101 - checked by callers
+        assert run.head is not None  # noqa: S101 - checked by callers
+        self._answered = True
+        close = self._host.stopping
+        if close:
+            connection.close_after_answer()
+        connection.write(
+            heads.answer_head(run.head, length, self._is_head, close)
+        )
+
+    def _begin_streaming(self, run: AttemptRun) -> None:
+        """Pass a long answer on while it comes."""
+        assert run.head is not None  # noqa: S101 - a body follows a head
+        verdict = self._host.dialect.verdict(run.head)
+        if verdict is not Verdict.SUCCESS or self._connection is None:
+            return
+        run.streaming = True
+        self._note_answered(run)
+        self._write_head(run, None)
+        now = time.monotonic()
+        for action in self._delivery.on_answer(run.attempt, verdict, now):
+            if isinstance(action, actions.Abandon):
+                self._abandon(action.attempt)
+        data, run.body = b"".join(run.body), []
+        self._stream_answer(run, data)
+
+    def _stream_answer(self, run: AttemptRun, data: bytes) -> None:
+        """Write a part of a long answer."""
+        connection = self._connection
+        if connection is None or run.head is None:
+            return
+        chunked = run.head.content_length is None
+        connection.write(messages.chunk(data) if chunked else data)
+        if connection.congested:
+            run.connection.pause_reading()
+
+    def _end_streaming(self, run: AttemptRun) -> None:
+        """Write the end of a long answer."""
+        connection = self._connection
+        if connection is not None and run.head is not None:
+            if run.head.content_length is None:
+                connection.write(messages.LAST_CHUNK)
+            self._finish()
+        self.run([])
+
+    def _refuse(self, refusal: exceptions.Refusal) -> None:
+        """Answer in tarragonlift's own name."""
+        connection = self._connection
+        if connection is None or self._answered:
+            return
+        self._answered = True
+        request = self._delivery.request
+        close = self._host.stopping or not connection.body_complete
+        if close:
+            connection.close_after_answer()
+        fields = self._host.refusal_fields(self, refusal)
+        self._host.note(
+            self,
+            "refused",
+            error=refusal.code,
+            status=refusal.status,
+            outcome=refusal.outcome.value,
+            sent=self._delivery.sent,
+            after_ms=_ms(time.monotonic() - request.received_at),
+        )
+        connection.write(
+            messages.refusal(
+                refusal, request.request_id, self._is_head, close, fields
+            )
+        )
+        self._finish()
+
+    def _note_answered(self, run: AttemptRun) -> None:
+        """Log the answer that the caller gets."""
+        now = time.monotonic()
+        received_at = self._delivery.request.received_at
+        self._host.note(
+            self,
+            "answered",
+            server=run.attempt.backend.server_id,
+            status=run.head.status if run.head else 0,
+            sent=self._delivery.sent,
+            server_ms=_ms(now - run.attempt.started_at),
+            after_ms=_ms(now - received_at),
+        )
+
+    def _finish(self) -> None:
+        """Let the caller's connection go on."""
+        connection, self._connection = self._connection, None
+        if connection is not None:
+            connection.finish_answer(keep_alive=True)
+
+    def _abandon(self, attempt: actions.Attempt) -> None:
+        """Close the connection of an attempt that is not wanted."""
+        run = self._runs.pop(attempt, None)
+        if run is not None:
+            run.connection.abandon()
+
+    def _cut_short(self) -> None:
+        """Reset the caller's connection: its answer can't become whole."""
+        connection, self._connection = self._connection, None
+        if connection is not None:
+            connection.abort()
+
+
+def _ms(seconds: float) -> float:
+    """Return seconds as milliseconds for a log line."""
+    return round(seconds * 1000, 1)
--- /dev/null
+++ b/tarragonlift/components/gateway/follower.py
@@ -0,0 +1,209 @@
+"""Follows the platform's store: operators, servers and daemons.
+
+The store may be down, slow, silent or refuse this daemon. What was read last
+stays in force meanwhile.
+"""
+
+from __future__ import annotations
+
+import functools
+import random
+
+from tarragonlift.components.gateway import const
+from tarragonlift.components import logs
+from tarragonlift.components.metrics import recorder
+from tarragonlift.core.fleet import doors
+from tarragonlift.core.fleet import fleet as fleet_module
+from tarragonlift.core import doors as core_doors
+from tarragonlift import exceptions
+
+Failure = exceptions.PlatformError
+
+
+class Dependency:
+    """Logs when the store is lost and regained, for one kind of reading."""
+
+    def __init__(self, name: str) -> None:
+        """Begin as not lost."""
+        self._name = name
+        self._lost_at: float | None = None
+
+    @property
+    def lost(self) -> bool:
+        """Return whether the last reading failed."""
+        return self._lost_at is not None
+
+    def fail(self, error: Failure, now: float) -> None:
+        """Note a failed reading."""
+        if self._lost_at is None:
+            self._lost_at = now
+            logs.log_belief(
+                "dependency",
+                name=self._name,
+                lost=True,
+                error=type(error).__name__,
+            )
+
+    def succeed(self, now: float) -> bool:
+        """Note a reading; return whether it is the first after failures."""
+        if self._lost_at is None:
+            return False
+        lost_s = round(now - self._lost_at, 3)
+        self._lost_at = None
+        logs.log_belief(
+            "dependency", name=self._name, lost=False, after_s=lost_s
+        )
+        return True
+
+
+class Follower:
+    """Keeps a fleet in line with the store."""
+
+    def __init__(
+        self,
+        loop: core_doors.Loop,
+        store: doors.FleetStore,
+        fleet: fleet_module.Fleet,
+        metrics: recorder.Recorder,
+        known_within_s: float,
+        rng: random.Random,
+    ) -> None:
+        """Know the leaving of a server within ``known_within_s`` seconds."""
+        self._loop = loop
+        self._store = store
+        self._fleet = fleet
+        self._metrics = metrics
+        self._period_s = known_within_s * const.LIST_SHARE
+        self._rng = rng
+        self._operators = Dependency("operators")
+        self._servers = Dependency("servers")
+        self._members = Dependency("members")
+        self._stopped = False
+
+    def start(self) -> None:
+        """Follow from now on."""
+        now = self._loop.now()
+        self._read_operators(now)
+        self._read_servers(now)
+        self._write_member(now)
+        for wait in const.MEMBERS_EARLY_S:
+            spread = self._rng.random() * wait
+            self._loop.call_at(now + wait + spread, self._read_members)
+
+    def stop(self) -> None:
+        """Write nothing more."""
+        self._stopped = True
+
+    def reread_operators(self) -> None:
+        """Read all that operators wrote: another daemon knows more."""
+        self._store.read_operators(self._on_reread)
+
+    def _read_operators(self, now: float) -> None:
+        """Read all that operators wrote, then wait for changes."""
+        self._metrics.count("store_calls")
+        self._store.read_operators(self._on_operators)
+
+    def _await_operators(self, after: int) -> None:
+        """Wait for what operators write next."""
+        self._metrics.count("store_calls")
+        callback = functools.partial(self._on_operators, after=after)
+        self._store.await_operators(after, const.WAIT_S, callback)
+
+    def _on_operators(
+        self, news: doors.OperatorNews | Failure, after: int = 0
+    ) -> None:
+        """Take what operators wrote."""
+        now = self._loop.now()
+        if isinstance(news, Failure):
+            self._operators.fail(news, now)
+            when = now + const.RETRY_S * (0.5 + self._rng.random())
+            # A whole reading: changes may have been missed or forgotten.
+            self._loop.call_at(when, self._read_operators)
+            return
+        self._operators.succeed(now)
+        self._take_news(news)
+        self._await_operators(max(after, news.store_version))
+
+    def _on_reread(self, news: doors.OperatorNews | Failure) -> None:
+        """Take a reading beside the wait for changes."""
+        if not isinstance(news, Failure):
+            self._take_news(news)
+
+    def _take_news(self, news: doors.OperatorNews) -> None:
+        """Put what operators wrote in force."""
+        adopted, moved = self._fleet.take_news(news)
+        if adopted:
+            logs.log_belief(
+                "configuration",
+                version=self._fleet.version,
+                store_version=news.store_version,
+            )
+        if moved:
+            logs.log_belief(
+                "data_centres_out",
+                out=sorted(self._fleet.registry.out),
+                store_version=news.store_version,
+            )
+
+    def _read_servers(self, now: float) -> None:
+        """Read the list of servers."""
+        self._metrics.count("store_calls")
+        timeout = max(0.3, self._period_s / 2)
+        self._store.read_servers(timeout, self._on_servers)
+
+    def _on_servers(self, found: doors.ServerList | Failure) -> None:
+        """Take the list of servers, and read it again after the period."""
+        now = self._loop.now()
+        if isinstance(found, Failure):
+            self._servers.fail(found, now)
+            when = now + const.RETRY_S * (0.5 + self._rng.random())
+            self._loop.call_at(when, self._read_servers)
+            return
+        if self._servers.succeed(now):
+            self._fleet.registry.keep_lapsed(now)
+        changes = self._fleet.registry.set_list(
+            found.store_version, found.servers, now
+        )
+        for change in changes:
+            logs.log_belief(
+                "server_list",
+                server=change.server_id,
+                change=change.kind,
+                detail=change.detail,
+                list_version=found.store_version,
+            )
+        self._loop.call_at(now + self._period_s, self._read_servers)
+
+    def _write_member(self, now: float) -> None:
+        """Write this daemon's row, now and once in a while."""
+        if self._stopped:
+            return
+        when = now + const.MEMBERS_S * (0.9 + 0.2 * self._rng.random())
+        self._loop.call_at(when, self._write_member)
+        self._metrics.count("store_calls")
+        row = doors.MemberRow(self._fleet.members.own, self._loop.wall_time())
+        self._store.write_member(row, self._on_written)
+        self._loop.call_at(when + 1.0, self._read_members)
+
+    def _on_written(self, failure: Failure | None) -> None:
+        """Try again where the row was perhaps not written."""
+        if failure is not None:
+            now = self._loop.now()
+            self._members.fail(failure, now)
+
+    def _read_members(self, now: float) -> None:
+        """Read the rows of all daemons."""
+        self._metrics.count("store_calls")
+        self._store.read_members(self._on_members)
+
+    def _on_members(self, rows: list[doors.MemberRow] | Failure) -> None:
+        """Take the rows of all daemons."""
+        now = self._loop.now()
+        if isinstance(rows, Failure):
+            self._members.fail(rows, now)
+            self._loop.call_at(now + 1.0, self._read_members)
+            return
+        self._members.succeed(now)
+        wall_time = self._loop.wall_time()
+        if self._fleet.set_members(rows, wall_time, const.MEMBER_VOID_S):
+            logs.log_belief("members", count=len(self._fleet.members))
--- /dev/null
+++ b/tarragonlift/components/gateway/gateway.py
@@ -0,0 +1,309 @@
+"""Accepts callers and joins them with the servers of a listed fleet."""
+
+from __future__ import annotations
+
+import socket
+import time
+
+from tarragonlift.components.data_path import caller
+from tarragonlift.components.data_path import client
+from tarragonlift.components.data_path import connections
+from tarragonlift.components.data_path import messages
+from tarragonlift.components.data_path import poller as poller_module
+from tarragonlift.components.data_path import server as data_server
+from tarragonlift.components.data_path import stream
+from tarragonlift.components.gateway import const
+from tarragonlift.components.gateway import dialect as dialect_module
+from tarragonlift.components.gateway import exchange as exchange_module
+from tarragonlift.components.gateway import prober as prober_module
+from tarragonlift.components import logs
+from tarragonlift.components.metrics import recorder
+from tarragonlift.core import actions
+from tarragonlift.core import const as core_const
+from tarragonlift.core.fleet import delivery as delivery_module
+from tarragonlift.core.fleet import fleet as fleet_module
+from tarragonlift.core.fleet import refusals
+from tarragonlift.core import models
+from tarragonlift import exceptions
+
+Exchange = exchange_module.Exchange
+
+
+class Gateway(exchange_module.Host, caller.Acceptor):
+    """Takes requests, one exchange each."""
+
+    def __init__(
+        self,
+        poller: poller_module.DataPoller,
+        fleet: fleet_module.Fleet,
+        dialect: dialect_module.Dialect,
+        metrics: recorder.Recorder,
+    ) -> None:
+        """Prepare; ``listen`` begins."""
+        self.dialect = dialect
+        self._poller = poller
+        self._fleet = fleet
+        self._metrics = metrics
+        self._listener: stream.Listener | None = None
+        self._callers: set[caller.CallerConnection] = set()
+        self._exchanges: set[Exchange] = set()
+        self._pool = connections.ConnectionPool(poller, _ignore)
+        self._prober = prober_module.Prober(
+            poller, self._pool, fleet.registry, dialect, metrics
+        )
+        self._stopping_since: float | None = None
+        self._take_until = float("inf")
+        self.on_crash: poller_module.Callable[[str], None] = _ignore
+
+    @property
+    def stopping(self) -> bool:
+        """Return whether callers are asked to go elsewhere."""
+        return self._stopping_since is not None
+
+    @property
+    def in_progress(self) -> int:
+        """Return how many requests wait for their answer."""
+        return sum(1 for one in self._exchanges if one.has_caller)
+
+    @property
+    def busy(self) -> bool:
+        """Return whether a request or its answer is under way."""
+        return bool(self._exchanges) or any(
+            one.busy or one.pending_bytes for one in self._callers
+        )
+
+    def listen(self, address: models.Address) -> models.Address:
+        """Accept callers from now on; return the address."""
+        self._listener = stream.Listener(
+            self._poller, address, self._on_accept
+        )
+        self._sweep(time.monotonic())
+        return self._listener.address
+
+    def set_stopping(self, now: float) -> None:
+        """Ask callers to go elsewhere; take new requests for a while."""
+        self._stopping_since = now
+        self._take_until = now + const.TAKE_ON_S
+
+    def stop_accepting(self) -> None:
+        """Close the listener and the callers that are idle."""
+        if self._listener is not None:
+            self._listener.close()
+        for connection in list(self._callers):
+            if connection.close_if_idle():
+                self._callers.discard(connection)
+
+    def close(self) -> None:
+        """Close everything."""
+        if self._listener is not None:
+            self._listener.close()
+        for connection in list(self._callers):
+            connection.close()
+        self._pool.close()
+
+    def accept(
+        self,
+        connection: caller.CallerConnection,
+        head: caller.RequestHead,
+    ) -> caller.RequestListener:
+        """Return who takes the request."""
+        now = time.monotonic()
+        connection.limits = self._fleet.limits
+        request_id = self.dialect.request_id(head)
+        self._metrics.count("requests")
+        try:
+            delivery = self._open(head, request_id, now)
+        except exceptions.Refusal as refusal:
+            return self._refused(connection, head, refusal, request_id)
+        if head.expects_continue:
+            connection.write(messages.CONTINUE)
+        exchange = Exchange(self, connection, head, delivery)
+        self._exchanges.add(exchange)
+        return exchange
+
+    def refuse(
+        self,
+        connection: caller.CallerConnection,
+        refusal: exceptions.Refusal,
+    ) -> None:
+        """Answer what could not be read."""
+        self._metrics.count(f"refused.{refusal.code}")
+        logs.log_request("unreadable", "", error=refusal.code)
+        connection.write(messages.refusal(refusal, "", close=True))
+
+    def on_closed(self, connection: caller.CallerConnection) -> None:
+        """Forget a caller's connection."""
+        self._callers.discard(connection)
+
+    def connect(
+        self, attempt: actions.Attempt
+    ) -> client.ClientConnection | None:
+        """Return a connection that was proven a moment ago, or a new one."""
+        self._metrics.count("attempts")
+        proven = time.monotonic() - const.PROVEN_S
+        address = attempt.backend.entry.address
+        return self._pool.take(address, proven)
+
+    def give_back(self, connection: client.ClientConnection) -> None:
+        """Keep or close a connection."""
+        self._pool.give_back(connection)
+
+    def carry_out(self, exchange: Exchange, action: actions.Action) -> None:
+        """Do what concerns more than one exchange."""
+        if isinstance(action, actions.WakeAt):
+            self._poller.call_at(
+                action.when, lambda now: self._wake(exchange, now)
+            )
+        elif isinstance(action, actions.PauseUntil):
+            self._poller.call_at(
+                action.when, lambda now: self._end_pause(exchange, now)
+            )
+        elif isinstance(action, delivery_module.Probe):
+            self._probe(exchange, action)
+        elif isinstance(action, delivery_module.TellCrash):
+            logs.log_belief("crash", fingerprint=action.fingerprint)
+            self.on_crash(action.fingerprint)
+
+    def note(self, exchange: Exchange, decision: str, **facts: object) -> None:
+        """Log a decision about the request."""
+        delivery = exchange.delivery
+        request = delivery.request
+        choice = delivery.last_choice
+        self._metrics.count(f"requests.{decision}")
+        if choice is not None:
+            facts["expected_ms"] = round(choice.expected_s * 1000)
+        if decision == "answered":
+            seconds = time.monotonic() - request.received_at
+            self._metrics.observe("request_seconds", seconds)
+        logs.log_request(
+            decision,
+            request.request_id,
+            route=request.route.name,
+            service=request.service,
+            version=request.version,
+            list_version=self._fleet.registry.version,
+            **facts,
+        )
+
+    def refusal_fields(
+        self, exchange: Exchange, refusal: exceptions.Refusal
+    ) -> dict[str, object]:
+        """Return the fields of an answer made by tarragonlift itself."""
+        request = exchange.delivery.request
+        now = time.monotonic()
+        come_back = refusals.come_back_s(request, now)
+        return self.dialect.refusal_fields(request.request_id, come_back)
+
+    def on_done(self, exchange: Exchange) -> None:
+        """Forget an exchange."""
+        self._exchanges.discard(exchange)
+
+    def _open(
+        self, head: caller.RequestHead, request_id: str, now: float
+    ) -> delivery_module.Delivery:
+        """Return the delivery of a request, or raise a Refusal."""
+        if now > self._take_until:
+            raise exceptions.Stopping(core_const.Outcome.NOT_RUN)
+        if head.content_length > self._fleet.limits.body_bytes:
+            raise exceptions.BodyTooLarge(core_const.Outcome.NOT_RUN)
+        host = head.fields.get(b"host", b"").decode("latin-1").lower()
+        target = head.target.decode("latin-1")
+        left = self.dialect.time_left_s(head)
+        if left is None:
+            left = const.DEADLINE_DEFAULT_S
+        facts = fleet_module.RequestHead(
+            request_id,
+            host.partition(":")[0],
+            target.partition("?")[0],
+            max(0.0, left - const.ANSWER_WAY_S),
+        )
+        return self._fleet.open_delivery(facts, now)
+
+    def _refused(
+        self,
+        connection: caller.CallerConnection,
+        head: caller.RequestHead,
+        refusal: exceptions.Refusal,
+        request_id: str,
+    ) -> caller.RequestListener:
+        """Refuse a request by its head alone."""
+        self._metrics.count(f"refused.{refusal.code}")
+        logs.log_request(
+            "refused",
+            request_id,
+            error=refusal.code,
+            status=refusal.status,
+            outcome=refusal.outcome.value,
+            target=head.target.decode("latin-1")[:80],
+            version=self._fleet.version,
+        )
+        if self.stopping:
+            connection.close_after_answer()
+        left = self.dialect.time_left_s(head) or 0.0
+        fields = self.dialect.refusal_fields(
+            request_id, refusals.within_bounds(left)
+        )
+        return data_server.Refused(
+            connection, head, refusal, request_id, fields
+        )
+
+    def _probe(
+        self, exchange: Exchange, action: delivery_module.Probe
+    ) -> None:
+        """Ask servers; go on when all answered or after a short wait."""
+        round_ = _Round(len(action.servers))
+
+        def go_on() -> None:
+            if not round_.ended:
+                round_.ended = True
+                now = time.monotonic()
+                exchange.run(exchange.delivery.on_reports(now))
+
+        def done() -> None:
+            round_.left -= 1
+            if not round_.left:
+                go_on()
+
+        for server in action.servers:
+            self._prober.ask(server, done)
+        when = time.monotonic() + const.PROBE_WAIT_S
+        self._poller.call_at(when, lambda now: go_on())
+
+    def _wake(self, exchange: Exchange, now: float) -> None:
+        """Wake a delivery if it is still in progress."""
+        if exchange in self._exchanges:
+            exchange.run(exchange.delivery.on_wake(now))
+
+    def _end_pause(self, exchange: Exchange, now: float) -> None:
+        """Let a delivery look for room again."""
+        if exchange in self._exchanges:
+            exchange.run(exchange.delivery.on_pause_over(now))
+
+    def _sweep(self, now: float) -> None:
+        """Look after timeouts."""
+        self._poller.call_at(now + const.SWEEP_S, self._sweep)
+        for connection in list(self._callers):
+            connection.check_timeouts(now)
+        for exchange in list(self._exchanges):
+            exchange.check_left_over(now)
+        self._pool.sweep(now, set())
+
+    def _on_accept(self, sock: socket.socket, peer: tuple[str, int]) -> None:
+        """Serve a new connection."""
+        connection = caller.CallerConnection(
+            self._poller, sock, peer[0], self, self._fleet.limits
+        )
+        self._callers.add(connection)
+
+
+class _Round:
+    """A round of probes that a request waits for."""
+
+    def __init__(self, left: int) -> None:
+        """Wait for this many."""
+        self.left = left
+        self.ended = False
+
+
+def _ignore(subject: object) -> None:
+    """Do nothing."""
--- /dev/null
+++ b/tarragonlift/components/gateway/heads.py
@@ -0,0 +1,66 @@
+"""Heads of requests to servers and of answers to callers."""
+
+from __future__ import annotations
+
+from tarragonlift.components.data_path import caller
+from tarragonlift.components.data_path import client
+from tarragonlift.components.data_path import messages
+
+STATUSES_WITHOUT_BODY = client.STATUSES_WITHOUT_BODY
+_FRAMING = frozenset((b"content-length", b"expect"))
+
+
+def request_prefix(
+    head: caller.RequestHead, own_fields: frozenset[bytes]
+) -> bytes:
+    """Return the request line and the fields that go on unchanged."""
+    base = messages.HOP_BY_HOP | _FRAMING | own_fields
+    dropped = messages.dropped_fields(base, head.fields.get(b"connection"))
+    parts = [b"%b %b HTTP/1.1\r\n" % (head.method, head.target)]
+    for name, value in head.headers:
+        if name.lower() not in dropped:
+            parts.append(b"%b: %b\r\n" % (name, value))
+    return b"".join(parts)
+
+
+def body_fields(head: caller.RequestHead, length: int | None) -> bytes:
+    """Return the framing of a body; ``length`` None: not known yet."""
+    if length is None and head.chunked:
+        return b"Transfer-Encoding: chunked\r\n"
+    if length is None:
+        length = head.content_length
+    if length or head.chunked or b"content-length" in head.fields:
+        return b"Content-Length: %d\r\n" % length
+    return b""
+
+
+def answer_head(
+    head: client.AnswerHead,
+    length: int | None,
+    is_head: bool,
+    close: bool,
+) -> bytes:
+    """Return the head of a server's answer for the caller.
+
+    ``length`` is that of the whole body; None: it is streamed, in chunks
+    where the server did not state a length.
+    """
+    base = messages.HOP_BY_HOP | _FRAMING
+    dropped = messages.dropped_fields(base, head.get(b"connection"))
+    parts = [messages.status_line(head.status)]
+    for name, value in head.headers:
+        if name.lower() not in dropped:
+            parts.append(b"%b: %b\r\n" % (name, value))
+    if is_head or length is None:
+        stated = head.content_length
+    else:
+        stated = length
+    if head.status not in STATUSES_WITHOUT_BODY:
+        if stated is not None:
+            parts.append(b"Content-Length: %d\r\n" % stated)
+        elif not is_head:
+            parts.append(b"Transfer-Encoding: chunked\r\n")
+    if close:
+        parts.append(b"Connection: close\r\n")
+    parts.append(b"\r\n")
+    return b"".join(parts)
--- /dev/null
+++ b/tarragonlift/components/gateway/pages.py
@@ -0,0 +1,123 @@
+"""Readiness and metrics of a daemon, each on an address of its own."""
+
+from __future__ import annotations
+
+from collections import abc
+import socket
+
+import orjson
+
+from tarragonlift.components.data_path import caller
+from tarragonlift.components.data_path import messages
+from tarragonlift.components.data_path import poller as poller_module
+from tarragonlift.components.data_path import server
+from tarragonlift.components.data_path import stream
+from tarragonlift.components.metrics import exposition
+from tarragonlift.components.metrics import recorder
+from tarragonlift.core import models
+from tarragonlift import exceptions
+
+STATUS_OK = 200
+STATUS_NOT_FOUND = 404
+STATUS_UNAVAILABLE = 503
+
+
+class ReadyPage(server.OwnPages):
+    """Tells the platform's balancer whether callers may come."""
+
+    def __init__(self, path: str, is_ready: abc.Callable[[], bool]) -> None:
+        """Answer at this path."""
+        self._path = path
+        self._is_ready = is_ready
+
+    def answer(
+        self, head: caller.RequestHead, body: bytes
+    ) -> tuple[int, bytes]:
+        """Return the status and a JSON body."""
+        if not _is_at(head, self._path):
+            return STATUS_NOT_FOUND, b"{}"
+        ready = self._is_ready()
+        status = STATUS_OK if ready else STATUS_UNAVAILABLE
+        return status, orjson.dumps({"ready": ready})
+
+
+class MetricsPage(server.OwnPages):
+    """Shows the metrics as text."""
+
+    content_type = "text/plain; version=0.0.4"
+
+    def __init__(self, path: str, metrics: recorder.Recorder) -> None:
+        """Answer at this path."""
+        self._path = path
+        self._metrics = metrics
+
+    def answer(
+        self, head: caller.RequestHead, body: bytes
+    ) -> tuple[int, bytes]:
+        """Return the status and the text."""
+        if not _is_at(head, self._path):
+            return STATUS_NOT_FOUND, b""
+        return STATUS_OK, exposition.render(self._metrics)
+
+
+class PageListener(caller.Acceptor):
+    """Serves one page."""
+
+    def __init__(
+        self, poller: poller_module.DataPoller, page: server.OwnPages
+    ) -> None:
+        """Prepare; ``listen`` begins."""
+        self._poller = poller
+        self._page = page
+        self._listener: stream.Listener | None = None
+        self._callers: set[caller.CallerConnection] = set()
+
+    def listen(self, address: models.Address) -> models.Address:
+        """Accept from now on; return the address."""
+        self._listener = stream.Listener(
+            self._poller, address, self._on_accept
+        )
+        return self._listener.address
+
+    def close(self) -> None:
+        """Close everything."""
+        if self._listener is not None:
+            self._listener.close()
+        for connection in list(self._callers):
+            connection.close()
+
+    def sweep(self, now: float) -> None:
+        """Close connections that are idle for long."""
+        for connection in list(self._callers):
+            connection.check_timeouts(now)
+
+    def accept(
+        self,
+        connection: caller.CallerConnection,
+        head: caller.RequestHead,
+    ) -> caller.RequestListener:
+        """Return who answers."""
+        return server.OwnRequest(connection, head, self._page)
+
+    def refuse(
+        self,
+        connection: caller.CallerConnection,
+        refusal: exceptions.Refusal,
+    ) -> None:
+        """Answer what could not be read."""
+        connection.write(messages.refusal(refusal, "", close=True))
+
+    def on_closed(self, connection: caller.CallerConnection) -> None:
+        """Forget a connection."""
+        self._callers.discard(connection)
+
+    def _on_accept(self, sock: socket.socket, peer: tuple[str, int]) -> None:
+        """Serve a new connection."""
+        self._callers.add(
+            caller.CallerConnection(self._poller, sock, peer[0], self)
+        )
+
+
+def _is_at(head: caller.RequestHead, path: str) -> bool:
+    """Return whether the request asks for this path."""
+    return head.target.partition(b"?")[0] == path.encode()
--- /dev/null
+++ b/tarragonlift/components/gateway/prober.py
@@ -0,0 +1,154 @@
+"""Health checks of servers just before requests are sent."""
+
+from __future__ import annotations
+
+from collections import abc
+import time
+
+from tarragonlift.components.data_path import client
+from tarragonlift.components.data_path import connections
+from tarragonlift.components.data_path import poller as poller_module
+from tarragonlift.components.gateway import const
+from tarragonlift.components.gateway import dialect as dialect_module
+from tarragonlift.components import logs
+from tarragonlift.components.metrics import recorder
+from tarragonlift.core.fleet import registry as registry_module
+from tarragonlift.core.fleet import server as server_module
+
+FleetServer = server_module.FleetServer
+Done = abc.Callable[[], None]
+
+
+class Probe(client.AnswerListener):
+    """One health check on its connection."""
+
+    def __init__(
+        self,
+        prober: Prober,
+        server: FleetServer,
+        connection: client.ClientConnection,
+    ) -> None:
+        """Ask this server on this connection."""
+        self._prober = prober
+        self._head: client.AnswerHead | None = None
+        self.server = server
+        self.connection = connection
+        self.waiting: list[Done] = []
+        self.ended = False
+
+    def wants(self, head: client.AnswerHead) -> bool:
+        """Pass over answers to earlier requests."""
+        return self._prober.is_health(head)
+
+    def on_head(self, head: client.AnswerHead) -> None:
+        """Take the head."""
+        self._head = head
+
+    def on_body(self, data: bytes) -> None:
+        """Take no body: the head says everything."""
+
+    def on_complete(self) -> None:
+        """Hand over what the server said."""
+        if self._head is not None:
+            self._prober.on_health(self, self._head)
+
+    def on_failed(self, sent: bool, bad: bool) -> None:
+        """Tell that the server did not answer."""
+        self._prober.on_probe_failed(self)
+
+
+class Prober:
+    """Sends health checks; one at a time to each server."""
+
+    def __init__(
+        self,
+        poller: poller_module.DataPoller,
+        pool: connections.ConnectionPool,
+        registry: registry_module.Registry,
+        dialect: dialect_module.Dialect,
+        metrics: recorder.Recorder,
+    ) -> None:
+        """Take connections from this pool."""
+        self._poller = poller
+        self._pool = pool
+        self._registry = registry
+        self._dialect = dialect
+        self._metrics = metrics
+        self._running: dict[FleetServer, Probe] = {}
+
+    def ask(self, server: FleetServer, done: Done) -> None:
+        """Ask a server; ``done`` is called once it answered or failed."""
+        probe = self._running.get(server)
+        if probe is None:
+            probe = self._begin(server)
+        if probe is None:
+            self._poller.call_soon(done)
+            return
+        probe.waiting.append(done)
+
+    def is_health(self, head: client.AnswerHead) -> bool:
+        """Return whether the answer is one to a health check."""
+        return self._dialect.is_health(head)
+
+    def on_health(self, probe: Probe, head: client.AnswerHead) -> None:
+        """Learn what the server said."""
+        server = probe.server
+        now = time.monotonic()
+        health = self._dialect.health(head)
+        before = (server.healthy, server.is_cold(now), server.misplaced)
+        server.take_health(health, now)
+        after = (server.healthy, server.is_cold(now), server.misplaced)
+        if before != after:
+            logs.log_belief(
+                "server",
+                server=server.server_id,
+                healthy=after[0],
+                cold_ms=round(health.cold_for_s * 1000),
+                misplaced=after[2],
+                said_by=health.server_id,
+            )
+        self._pool.give_back(probe.connection)
+        self._end(probe)
+
+    def on_probe_failed(self, probe: Probe) -> None:
+        """Learn that the server did not answer."""
+        if probe.ended:
+            return
+        server = probe.server
+        self._metrics.count("probes_failed")
+        server.note_failure(time.monotonic())
+        logs.log_belief(
+            "server", server=server.server_id, answers_probes=False
+        )
+        self._end(probe)
+
+    def _begin(self, server: FleetServer) -> Probe | None:
+        """Send one health check."""
+        address = server.entry.address
+        connection = self._pool.take(address)
+        if connection is None:
+            server.note_failure(time.monotonic())
+            return None
+        self._metrics.count("probes")
+        path = self._registry.health_path(server.entry.service)
+        head = f"GET {path} HTTP/1.1\r\nHost: {address}\r\n\r\n"
+        probe = Probe(self, server, connection)
+        self._running[server] = probe
+        connection.begin(head.encode("latin-1"), probe, is_head=False)
+        when = time.monotonic() + const.PROBE_TIMEOUT_S
+        self._poller.call_at(when, lambda now: self._expire(probe))
+        return probe
+
+    def _expire(self, probe: Probe) -> None:
+        """Give up on an answer that did not come in time."""
+        if not probe.ended:
+            probe.connection.abandon()
+            self.on_probe_failed(probe)
+
+    def _end(self, probe: Probe) -> None:
+        """Tell who waits."""
+        probe.ended = True
+        if self._running.get(probe.server) is probe:
+            del self._running[probe.server]
+        for done in probe.waiting:
+            done()
--- a/tarragonlift/components/logs/__init__.py
+++ b/tarragonlift/components/logs/__init__.py
@@ -9,11 +9,16 @@
 
 import eliot
 
+from tarragonlift.components.logs import writer
 from tarragonlift.core import timeline
 
+FILENO_STANDARD_OUTPUT = 1
+
 MESSAGE_ACTION = "tarragonlift:action"
 MESSAGE_ERROR = "tarragonlift:error"
+MESSAGE_BELIEF = "tarragonlift:belief"
 MESSAGE_EVENT = "tarragonlift:event"
+MESSAGE_REQUEST = "tarragonlift:request"
 
 
 def setup_logs(stream: TextIO | None = None) -> None:
@@ -21,6 +26,27 @@
     eliot.to_file(stream or sys.stderr)
 
 
+def setup_bounded_logs(
+    fileno: int = FILENO_STANDARD_OUTPUT,
+) -> writer.LogWriter:
+    """Write logs to a descriptor without blocking; return the writer."""
+    log_writer = writer.LogWriter(fileno)
+    eliot.add_destinations(log_writer)
+    return log_writer
+
+
+def log_request(decision: str, request: str, **facts: Any) -> None:
+    """Log a decision that touches a request."""
+    eliot.log_message(
+        MESSAGE_REQUEST, decision=decision, request=request, **facts
+    )
+
+
+def log_belief(about: str, **facts: Any) -> None:
+    """Log what this process believes from now on."""
+    eliot.log_message(MESSAGE_BELIEF, about=about, **facts)
+
+
 def log_event(event: timeline.Event) -> None:
     """Log an event of the time line."""
     eliot.log_message(MESSAGE_EVENT, **event.to_document())
--- a/tarragonlift/components/metrics/recorder.py
+++ b/tarragonlift/components/metrics/recorder.py
@@ -2,10 +2,30 @@
 
 from __future__ import annotations
 
+import bisect
 import collections
 
 import statsd
 
+# Upper bounds of the histogram's buckets in seconds, by factors of about two.
+BUCKETS_S = (
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2.5, 5.0, 10.0
+)  # fmt: skip
+
+
+class Histogram:
+    """Counts values by bucket."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.counts = [0] * (len(BUCKETS_S) + 1)
+        self.total = 0.0
+
+    def add(self, value: float) -> None:
+        """Count one value."""
+        self.counts[bisect.bisect_left(BUCKETS_S, value)] += 1
+        self.total += value
+
 
 class Recorder:
     """Adds up counters and gauges; ``flush`` sends them in few packets."""
@@ -16,6 +36,12 @@
         self._counts: collections.Counter[str] = collections.Counter()
         self._totals: collections.Counter[str] = collections.Counter()
         self._gauges: dict[str, float] = {}
+        self._histograms: dict[str, Histogram] = {}
+
+    @property
+    def histograms(self) -> dict[str, Histogram]:
+        """Return the histograms by name."""
+        return dict(self._histograms)
 
     @property
     def totals(self) -> dict[str, int]:
@@ -31,6 +57,10 @@
         """Add to a counter."""
         self._counts[name] += value
 
+    def observe(self, name: str, value: float) -> None:
+        """Add a value to a histogram."""
+        self._histograms.setdefault(name, Histogram()).add(value)
+
     def gauge(self, name: str, value: float) -> None:
         """Set a gauge."""
         self._gauges[name] = value
--- a/tarragonlift/components/platform/client.py
+++ b/tarragonlift/components/platform/client.py
@@ -89,6 +89,8 @@
         body: bytes,
         callback: Callback,
         etag: str = "",
+        timeout_s: float = const.TIMEOUT_S,
+        content_type: str = "",
     ) -> None:
         """Send a request; the callback gets the answer or the error."""
         if len(self._waiting) >= const.WAITING_MOST:
@@ -100,8 +102,10 @@
         )
         if etag:
             head += f"If-None-Match: {etag}\r\n"
+        if content_type:
+            head += f"Content-Type: {content_type}\r\n"
         data = head.encode("latin-1") + b"\r\n" + body
-        due_at = time.monotonic() + const.TIMEOUT_S
+        due_at = time.monotonic() + timeout_s
         job = _Job(self, data, callback, due_at)
         self.requests += 1
         self._waiting.append(job)
--- a/tarragonlift/core/actions.py
+++ b/tarragonlift/core/actions.py
@@ -7,6 +7,7 @@
 import attrs
 
 from tarragonlift.core import backend as backend_module
+from tarragonlift.core.fleet import server as server_module
 from tarragonlift.core import models
 from tarragonlift import exceptions
 
@@ -19,7 +20,7 @@
     """One sending of a request to one backend server."""
 
     number: int
-    backend: backend_module.Backend
+    backend: backend_module.Backend | server_module.FleetServer
     started_at: float
 
 
@@ -99,6 +100,13 @@
     when: float
 
 
+@attrs.frozen
+class PauseUntil(Action):
+    """Call ``on_pause_over`` at this time."""
+
+    when: float
+
+
 @attrs.frozen
 class Note(Action):
     """Put an event on the time line."""
--- a/tarragonlift/core/budget.py
+++ b/tarragonlift/core/budget.py
@@ -13,10 +13,16 @@
     the size of the bucket.
     """
 
-    def __init__(self, share: float) -> None:
+    def __init__(
+        self,
+        share: float,
+        most: float = BUDGET_MOST,
+        start: float = BUDGET_START,
+    ) -> None:
         """Start with a small stock when the share is not zero."""
         self._share = share
-        self._tokens = BUDGET_START if share > 0 else 0.0
+        self._most = most
+        self._tokens = min(start, most) if share > 0 else 0.0
 
     @property
     def tokens(self) -> float:
@@ -29,9 +35,14 @@
         if share <= 0:
             self._tokens = 0.0
 
+    def set_most(self, most: float) -> None:
+        """Hold at most this many tokens from now on."""
+        self._most = most
+        self._tokens = min(self._tokens, most)
+
     def earn(self) -> None:
         """Count one call."""
-        self._tokens = min(BUDGET_MOST, self._tokens + self._share)
+        self._tokens = min(self._most, self._tokens + self._share)
 
     def spend(self) -> bool:
         """Take one extra call, or return False when there is none left."""
--- a/tarragonlift/core/const.py
+++ b/tarragonlift/core/const.py
@@ -62,6 +62,8 @@
 
 EVENT_ATTEMPT_FAILED = "attempt-failed"
 EVENT_BACKEND_COLD = "backend-cold"
+EVENT_BACKEND_GONE = "backend-gone"
+EVENT_BACKEND_LISTED = "backend-listed"
 EVENT_BACKEND_LEAVING = "backend-leaving"
 EVENT_BACKEND_WARM = "backend-warm"
 EVENT_CASE_OPENED = "case-opened"
--- /dev/null
+++ b/tarragonlift/core/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Delivery of requests over a fleet that a platform lists and configures."""
--- /dev/null
+++ b/tarragonlift/core/fleet/const.py
@@ -0,0 +1,79 @@
+"""Limits of the delivery over a listed fleet."""
+
+from __future__ import annotations
+
+# Seconds a load report may be old when a request is sent on it. The load of
+# servers changes within milliseconds; a probe's round trip takes about two.
+REPORT_FRESH_S = 0.03
+
+# Servers asked at once: three of which one in four is slow leave 1 in 64.
+PROBES_AT_ONCE = 3
+# Rounds of probes before the best known server is taken.
+PROBE_ROUNDS_MOST = 2
+# Share of the target latency for which a request may wait for room.
+HOLD_SHARE = 0.125
+# Pause between two looks for a server with room, in seconds.
+HOLD_PAUSE_S = 0.015
+
+# Worth of an answer that comes late, as a share of one in time.
+LATE_LOSS = 0.9
+# Loss for each KiB that crosses between data centres, as a share of a
+# request's worth; the default of the setting.
+CROSSING_LOSS_PER_KIB = 0.05
+# A server is taken at once when its chance of a late answer is below this.
+LATE_CHANCE_GOOD = 0.05
+# Exponent of the chance of a late answer: service times that spread by 0.3
+# on a logarithmic scale give a logistic curve of about this slope.
+LATE_SLOPE = 5.0
+# Weight of the expected latency among servers that are equally in time.
+LATENCY_WEIGHT = 0.1
+# Above this share of busy slots servers begin to slow down.
+CROWDED_SHARE = 0.7
+CROWDED_SLOWDOWN = 0.5
+# First guess of a route's service time, as a share of its target latency.
+SERVICE_TIME_SHARE = 0.4
+# Seconds after which what was learned of a server's own speed counts half.
+SPEED_HALF_LIFE_S = 2.0
+# Slowdown expected of a server whose report is old: the mean over servers
+# of which a quarter takes seven times as long.
+SLOWDOWN_UNKNOWN = 2.5
+# Seconds after which half of a load report is out of date.
+REPORT_HALF_LIFE_S = 0.25
+
+# Seconds for which a server that failed is avoided while others do.
+AVOID_S = 1.0
+# Failures of this share make a server count as faulty.
+FAILURE_HALF_LIFE_S = 4.0
+
+# Daemons that may send to the same cold server; they divide its rate.
+COLD_OWNERS_MOST = 4
+# Part of a cold server's rate that is used, so that sends of one second
+# never add up to more than it bears.
+COLD_RATE_USED = 0.8
+
+# Part of the extra calls that the users allow which one daemon plans with.
+EXTRA_SHARE_USED = 0.8
+# Seconds of service time after which a late idempotent request is hedged
+# in time: the target latency less this many service times.
+HEDGE_SERVICE_TIMES = 1.25
+# Share of the whole time after which an unanswered idempotent request is
+# sent once more although it will be late.
+HEDGE_LATE_SHARE = 0.5
+
+# Crashes in all after which a request is held back.
+CRASHES_MOST = 3
+# Requests that are remembered as suspects.
+SUSPECTS_MOST = 1000
+# Seconds for which a suspect is remembered.
+SUSPECT_S = 120.0
+
+# Share of the time left within which a refused caller should come back;
+# callers honour at most a third.
+COME_BACK_SHARE = 0.3
+# Longest and shortest time for which a refused caller stays away, seconds.
+COME_BACK_MOST_S = 0.5
+COME_BACK_LEAST_S = 0.05
+
+# Seconds for which entries that lapsed while the list could not be read are
+# kept after its return; the platform has servers enter again within two.
+LAPSED_KEPT_S = 2.0
--- /dev/null
+++ b/tarragonlift/core/fleet/doors.py
@@ -0,0 +1,81 @@
+"""The platform's store as the fleet's followers need it."""
+
+from __future__ import annotations
+
+import abc
+from collections import abc as collections_abc
+
+import attrs
+
+from tarragonlift import exceptions
+from tarragonlift.core.fleet import members
+from tarragonlift.core.fleet import models
+
+
+@attrs.frozen
+class OperatorNews:
+    """What operators wrote, up to a version of the store.
+
+    ``configuration`` None: no new one. ``out`` names data centres that get
+    no new work (True) or may get it again (False); a whole reading
+    (``complete``) names all that are out.
+    """
+
+    store_version: int
+    configuration: models.FleetConfiguration | None
+    out: dict[str, bool]
+    complete: bool = False
+
+
+@attrs.frozen
+class ServerList:
+    """The list of servers at a version of the store."""
+
+    store_version: int
+    servers: tuple[models.ListedServer, ...]
+
+
+@attrs.frozen
+class MemberRow:
+    """The row of a daemon, with the wall clock at its writing."""
+
+    member: members.Member
+    written_at: float
+
+
+Failure = exceptions.PlatformError
+NewsCallback = collections_abc.Callable[[OperatorNews | Failure], None]
+ServersCallback = collections_abc.Callable[[ServerList | Failure], None]
+MembersCallback = collections_abc.Callable[[list[MemberRow] | Failure], None]
+WrittenCallback = collections_abc.Callable[[Failure | None], None]
+
+
+class FleetStore(abc.ABC):
+    """Reads configuration and servers, and the rows of the daemons."""
+
+    @abc.abstractmethod
+    def read_operators(self, callback: NewsCallback) -> None:
+        """Read all that operators wrote."""
+
+    @abc.abstractmethod
+    def await_operators(
+        self, after: int, wait_s: float, callback: NewsCallback
+    ) -> None:
+        """Get what operators write after a version, as soon as they do.
+
+        Fails with PlatformHistoryLost where the changes are not kept.
+        """
+
+    @abc.abstractmethod
+    def read_servers(
+        self, timeout_s: float, callback: ServersCallback
+    ) -> None:
+        """Read the list of servers."""
+
+    @abc.abstractmethod
+    def read_members(self, callback: MembersCallback) -> None:
+        """Read the rows of the daemons."""
+
+    @abc.abstractmethod
+    def write_member(self, row: MemberRow, callback: WrittenCallback) -> None:
+        """Write this daemon's row."""
--- /dev/null
+++ b/tarragonlift/core/fleet/fleet.py
@@ -0,0 +1,173 @@
+"""Everything that one daemon decides about a listed fleet, in one place."""
+
+from __future__ import annotations
+
+import random
+
+import attrs
+
+from tarragonlift.core import budget
+from tarragonlift.core import const as core_const
+from tarragonlift.core.fleet import chooser
+from tarragonlift.core.fleet import const
+from tarragonlift.core.fleet import crashes
+from tarragonlift.core.fleet import delivery
+from tarragonlift.core.fleet import doors
+from tarragonlift.core.fleet import members as members_module
+from tarragonlift.core.fleet import models
+from tarragonlift.core.fleet import registry
+from tarragonlift.core.fleet import routes
+from tarragonlift import exceptions
+
+_NOT_RUN = core_const.Outcome.NOT_RUN
+
+
+@attrs.frozen
+class ExtraCalls:
+    """How many extra calls all daemons together may make.
+
+    In a window, a share of the requests and a fixed number beside.
+    """
+
+    share: float = 0.1
+    slack: float = 20.0
+
+
+@attrs.frozen
+class RequestHead:
+    """What the core needs of the head of a request."""
+
+    request_id: str
+    host: str
+    path: str
+    time_left_s: float
+
+
+class Fleet:
+    """The state of one daemon; times are of the monotonic clock."""
+
+    def __init__(
+        self,
+        own: members_module.Member,
+        extra_calls: ExtraCalls,
+        crossing_loss_per_kib: float,
+        rng: random.Random,
+    ) -> None:
+        """Start without configuration: no request is taken yet."""
+        self._rng = rng
+        self._extra_calls = extra_calls
+        self._configuration: models.FleetConfiguration | None = None
+        self._routes = routes.RouteTable((), rng)
+        self._operators_version = 0
+        self.members = members_module.Members(own)
+        self.registry = registry.Registry(self.members)
+        self.crash_book = crashes.CrashBook()
+        self._budgets: dict[str, budget.ExtraCallBudget] = {}
+        self._context = delivery.Context(
+            self.registry,
+            chooser.Chooser(
+                self.registry, own.data_centre, crossing_loss_per_kib, rng
+            ),
+            self.crash_book,
+            self._budgets,
+        )
+
+    @property
+    def configuration(self) -> models.FleetConfiguration | None:
+        """Return the configuration in force here."""
+        return self._configuration
+
+    @property
+    def version(self) -> int:
+        """Return the version of the configuration in force; 0: none."""
+        known = self._configuration
+        return known.version if known is not None else 0
+
+    @property
+    def limits(self) -> models.CallerLimits:
+        """Return what callers may send."""
+        known = self._configuration
+        return known.limits if known else models.CallerLimits()
+
+    @property
+    def is_informed(self) -> bool:
+        """Return whether configuration and servers are known."""
+        return self._configuration is not None and self.registry.listed
+
+    def adopt(self, configuration: models.FleetConfiguration) -> bool:
+        """Follow a configuration; never one that is not newer."""
+        if configuration.version <= self.version:
+            return False
+        self._configuration = configuration
+        self._routes = routes.RouteTable(configuration.routes, self._rng)
+        self.registry.set_services(configuration.services)
+        names = set(configuration.services)
+        for route in configuration.routes:
+            names.update(target.service for target in route.targets)
+        for name in names - set(self._budgets):
+            self._budgets[name] = self._new_budget()
+        return True
+
+    def take_news(self, news: doors.OperatorNews) -> tuple[bool, bool]:
+        """Follow operators; return whether configuration or places changed.
+
+        A reading that is older than what is known changes nothing.
+        """
+        if news.store_version < self._operators_version:
+            return False, False
+        self._operators_version = news.store_version
+        adopted = False
+        if news.configuration is not None:
+            adopted = self.adopt(news.configuration)
+        out = set() if news.complete else set(self.registry.out)
+        for name, is_out in news.out.items():
+            if is_out:
+                out.add(name)
+            else:
+                out.discard(name)
+        return adopted, self.registry.set_out(out)
+
+    def set_members(
+        self, rows: list[doors.MemberRow], wall_time: float, void_s: float
+    ) -> bool:
+        """Follow the daemons' rows; return whether the members changed."""
+        found = [
+            row.member
+            for row in rows
+            if abs(wall_time - row.written_at) <= void_s
+        ]
+        changed = self.members.set_members(found)
+        if changed:
+            for one in self._budgets.values():
+                one.set_most(self._budget_most)
+        return changed
+
+    def open_delivery(
+        self, head: RequestHead, now: float
+    ) -> delivery.Delivery:
+        """Return the delivery of a request, or raise a Refusal."""
+        if not self.is_informed:
+            raise exceptions.NoConfiguration(_NOT_RUN)
+        route = self._routes.find(head.host, head.path)
+        if route is None:
+            raise exceptions.NoRoute(_NOT_RUN)
+        request = models.RoutedRequest(
+            request_id=head.request_id,
+            route=route,
+            service=self._routes.choose_service(route),
+            version=self.version,
+            received_at=now,
+            deadline_at=now + head.time_left_s,
+        )
+        return delivery.Delivery(request, self._context)
+
+    @property
+    def _budget_most(self) -> float:
+        """Return this daemon's part of the fixed number of extra calls."""
+        part = self._extra_calls.slack / len(self.members)
+        return max(1.0, part * const.EXTRA_SHARE_USED)
+
+    def _new_budget(self) -> budget.ExtraCallBudget:
+        """Return the budget of a service."""
+        share = self._extra_calls.share * const.EXTRA_SHARE_USED
+        return budget.ExtraCallBudget(share, self._budget_most, 1.0)
--- /dev/null
+++ b/tarragonlift/core/fleet/members.py
@@ -0,0 +1,80 @@
+"""Which daemons there are, and which of them send to a cold server."""
+
+from __future__ import annotations
+
+from collections import abc
+
+import attrs
+
+from tarragonlift.core import models
+from tarragonlift.core import rendezvous
+from tarragonlift.core.fleet import const
+
+
+@attrs.frozen
+class Member:
+    """One daemon: where it stands and where other daemons reach it."""
+
+    daemon: str
+    data_centre: str
+    address: models.Address
+
+
+class Members:
+    """The daemons known to this one, itself included."""
+
+    def __init__(self, own: Member) -> None:
+        """Know this daemon alone."""
+        self._own = own
+        self._members: dict[str, Member] = {own.daemon: own}
+        self._owners: dict[tuple[str, str], tuple[str, ...]] = {}
+
+    def __len__(self) -> int:
+        """Return how many daemons are known."""
+        return len(self._members)
+
+    @property
+    def own(self) -> Member:
+        """Return this daemon."""
+        return self._own
+
+    @property
+    def others(self) -> list[Member]:
+        """Return the other daemons."""
+        own = self._own.daemon
+        return [one for one in self._members.values() if one.daemon != own]
+
+    def set_members(self, members: abc.Iterable[Member]) -> bool:
+        """Follow the list of daemons; return whether it changed."""
+        found = {one.daemon: one for one in members}
+        found[self._own.daemon] = self._own
+        if found == self._members:
+            return False
+        self._members = found
+        self._owners.clear()
+        return True
+
+    def add(self, member: Member) -> None:
+        """Know a daemon that has told of itself."""
+        if self._members.get(member.daemon) != member:
+            self._members[member.daemon] = member
+            self._owners.clear()
+
+    def cold_owners(self, server_id: str, data_centre: str) -> tuple[str, ...]:
+        """Return the daemons that may send to the server while it is cold.
+
+        They stand in its data centre where there are any.
+        """
+        key = (server_id, data_centre)
+        known = self._owners.get(key)
+        if known is None:
+            near = [
+                one.daemon
+                for one in self._members.values()
+                if one.data_centre == data_centre
+            ]
+            hashed = rendezvous.hash_members(near or list(self._members))
+            most = const.COLD_OWNERS_MOST
+            known = tuple(rendezvous.rank(server_id, hashed, most))
+            self._owners[key] = known
+        return known
--- a/tarragonlift/core/latency.py
+++ b/tarragonlift/core/latency.py
@@ -45,6 +45,7 @@
     def __init__(self, half_life_s: float, start: float) -> None:
         """Start from a guess."""
         self._half_life_s = half_life_s
+        self._start = start
         self._mean = start
         self._updated_at = -math.inf
 
@@ -53,6 +54,11 @@
         """Return the mean in seconds."""
         return self._mean
 
+    def mean_at(self, now: float) -> float:
+        """Return the mean, nearer to the first guess the older it is."""
+        kept = 0.5 ** (max(0.0, now - self._updated_at) / self._half_life_s)
+        return self._start + kept * (self._mean - self._start)
+
     def add(self, value: float, now: float) -> None:
         """Take one value into account."""
         age = now - self._updated_at
--- a/tarragonlift/exceptions.py
+++ b/tarragonlift/exceptions.py
@@ -86,6 +86,10 @@
     """The platform answered with an error."""
 
 
+class PlatformHistoryLost(PlatformError):
+    """The changes since the version asked for are not kept any more."""
+
+
 class PeerError(TarragonliftError):
     """Base of failures between daemons."""
 
@@ -118,6 +122,19 @@
     advice = "No service has this host name and path; check the address."
 
 
+class NoRoute(Refusal):
+    """No route of the configuration in force matches the request."""
+
+    status = 404
+    advice = "No route has this host name and path; check the address."
+
+
+class NoConfiguration(Refusal):
+    """This daemon has not read a configuration yet."""
+
+    advice = "This host is starting; send the request again."
+
+
 class NoBackendServer(Refusal):
     """No backend server of the service can take the request."""
 
