Tell the list of servers by datagrams; one daemon reads for all

Change: each reading is told to all daemons with a digest; they take turns. Ruled out: a feed on the list (changes with each heartbeat, so as many calls) and a row of changes in the store (a call a daemon and change).

--- a/tarragonlift/components/gateway/const.py
+++ b/tarragonlift/components/gateway/const.py
@@ -25,6 +25,11 @@
 # Part of the time within which a leaving server must be known that passes
 # between two readings of the list; the rest is for the reading itself.
 LIST_SHARE = 0.65
+# Part of that time which one reading may take.
+LIST_TIMEOUT_SHARE = 0.4
+# Least time between two readings of the configuration because other daemons
+# have a newer one, in seconds.
+REREAD_S = 0.3
 # Seconds until the next try after the store failed.
 RETRY_S = 0.25
 # Longest wait of one call for changes of the configuration, seconds: the
@@ -44,6 +49,8 @@
 STOP_SHARE = 0.93
 
 TICK_S = 0.1
+# Seconds between two looks at whose turn it is to read the list.
+TURN_S = 0.01
 SWEEP_S = 0.5
 # Seconds between two looks at the settings file.
 SETTINGS_S = 1.0
--- a/tarragonlift/components/gateway/daemon.py
+++ b/tarragonlift/components/gateway/daemon.py
@@ -15,15 +15,16 @@
 from tarragonlift.components.gateway import dialect as dialect_module
 from tarragonlift.components.gateway import follower
 from tarragonlift.components.gateway import gateway
+from tarragonlift.components.gateway import news
 from tarragonlift.components.gateway import pages
 from tarragonlift.components import logs
 from tarragonlift.components.logs import writer
 from tarragonlift.components import metrics
-from tarragonlift.core import models
 from tarragonlift.core.fleet import const as fleet_const
 from tarragonlift.core.fleet import doors
 from tarragonlift.core.fleet import fleet as fleet_module
 from tarragonlift.core.fleet import members
+from tarragonlift.core import models
 
 METRICS_PATH = "/metrics"
 
@@ -84,6 +85,10 @@
             self._poller, self._fleet, dialect, self._metrics
         )
         self._follower: follower.Follower | None = None
+        self._news = news.NewsSocket(
+            self._poller, self._fleet.members, self._on_news, logs.log_error
+        )
+        self._gateway.on_crash = self._tell_crash
         ready = pages.ReadyPage(dialect.ready_path, self.is_ready)
         self._ready = pages.PageListener(self._poller, ready)
         shown = pages.MetricsPage(METRICS_PATH, self._metrics)
@@ -104,6 +109,7 @@
             self._settings.known_within_s,
             self._rng,
         )
+        self._follower.tell = self._news.send
 
     def is_ready(self) -> bool:
         """Return whether callers should be sent to this daemon."""
@@ -116,8 +122,10 @@
         signal.signal(signal.SIGINT, self._on_stop_signal)
         signal.signal(signal.SIGHUP, self._on_reload_signal)
         settings = self._settings
+        self._news.listen(settings.peer)
         if self._follower is not None:
             self._follower.start()
+            self._take_turns(time.monotonic())
         self._ready.listen(settings.ready)
         if settings.metrics is not None:
             self._shown.listen(settings.metrics)
@@ -130,6 +138,26 @@
         )
         self._tick(time.monotonic())
 
+    def _on_news(self, message: news.Message) -> None:
+        """Take what another daemon tells."""
+        if isinstance(message, news.CrashNews):
+            self._fleet.crash_book.add(message.fingerprint, time.monotonic())
+            logs.log_belief(
+                "crash", fingerprint=message.fingerprint, told=True
+            )
+        elif self._follower is not None:
+            self._follower.take_list_news(message)
+
+    def _tell_crash(self, fingerprint: str) -> None:
+        """Tell the other daemons that a server died with a request."""
+        self._news.send(news.CrashNews(fingerprint))
+
+    def _take_turns(self, now: float) -> None:
+        """Read the list of servers where it is this daemon's turn."""
+        self._poller.call_at(now + const.TURN_S, self._take_turns)
+        if self._follower is not None:
+            self._follower.tick(now)
+
     def _on_stop_signal(self, number: int, frame: Any) -> None:
         """Begin the graceful stop."""
         if self._stopping_since is None:
@@ -173,6 +201,7 @@
         logs.log_belief("stopped", in_progress=self._gateway.in_progress)
         self._log_writer.flush()
         self._gateway.close()
+        self._news.close()
         self._ready.close()
         self._shown.close()
         self.stop()
--- a/tarragonlift/components/gateway/follower.py
+++ b/tarragonlift/components/gateway/follower.py
@@ -6,15 +6,20 @@
 
 from __future__ import annotations
 
+from collections import abc
 import functools
+import math
 import random
 
 from tarragonlift.components.gateway import const
 from tarragonlift.components import logs
 from tarragonlift.components.metrics import recorder
+from tarragonlift.core import doors as core_doors
+from tarragonlift.core.fleet import const as fleet_const
 from tarragonlift.core.fleet import doors
 from tarragonlift.core.fleet import fleet as fleet_module
-from tarragonlift.core import doors as core_doors
+from tarragonlift.core.fleet import list_view
+from tarragonlift.core.fleet import turns
 from tarragonlift import exceptions
 
 Failure = exceptions.PlatformError
@@ -73,18 +78,25 @@
         self._store = store
         self._fleet = fleet
         self._metrics = metrics
-        self._period_s = known_within_s * const.LIST_SHARE
+        self._longest_s = known_within_s * const.LIST_SHARE
+        self._turns = turns.ReadingTurns(fleet.members, self._longest_s)
+        self._view = list_view.ListView()
+        self._reading = False
+        self._retry_at = -math.inf
+        self._lapsed_until = -math.inf
+        self._reread_at = -math.inf
         self._rng = rng
         self._operators = Dependency("operators")
         self._servers = Dependency("servers")
         self._members = Dependency("members")
         self._stopped = False
+        self.tell: abc.Callable[[list_view.ListNews], None] = _ignore
 
     def start(self) -> None:
         """Follow from now on."""
         now = self._loop.now()
         self._read_operators(now)
-        self._read_servers(now)
+        self.tick(now)
         self._write_member(now)
         for wait in const.MEMBERS_EARLY_S:
             spread = self._rng.random() * wait
@@ -94,8 +106,32 @@
         """Write nothing more."""
         self._stopped = True
 
-    def reread_operators(self) -> None:
+    def tick(self, now: float) -> None:
+        """Read the list where it is this daemon's turn."""
+        if self._reading or now < self._retry_at:
+            return
+        if now >= self._turns.due_at:
+            self._read_servers(now)
+
+    def take_list_news(self, news: list_view.ListNews) -> None:
+        """Take another daemon's reading of the list."""
+        now = self._loop.now()
+        if news.configuration > self._fleet.version:
+            self._reread_operators(now)
+        if news.store_version < self._fleet.registry.version:
+            return
+        if news.lapsed_for_s > 0:
+            self._keep_lapsed(now, news.lapsed_for_s)
+        if self._view.apply(news):
+            self._turns.on_known(now)
+            self._follow_list(news.store_version, now)
+
+    def _reread_operators(self, now: float) -> None:
         """Read all that operators wrote: another daemon knows more."""
+        if now < self._reread_at:
+            return
+        self._reread_at = now + const.REREAD_S
+        self._metrics.count("store_calls")
         self._store.read_operators(self._on_reread)
 
     def _read_operators(self, now: float) -> None:
@@ -147,22 +183,47 @@
 
     def _read_servers(self, now: float) -> None:
         """Read the list of servers."""
+        self._reading = True
         self._metrics.count("store_calls")
-        timeout = max(0.3, self._period_s / 2)
+        timeout = self._longest_s * const.LIST_TIMEOUT_SHARE
         self._store.read_servers(timeout, self._on_servers)
 
     def _on_servers(self, found: doors.ServerList | Failure) -> None:
-        """Take the list of servers, and read it again after the period."""
+        """Take the list of servers, and tell the other daemons."""
         now = self._loop.now()
+        self._reading = False
         if isinstance(found, Failure):
             self._servers.fail(found, now)
-            when = now + const.RETRY_S * (0.5 + self._rng.random())
-            self._loop.call_at(when, self._read_servers)
+            self._retry_at = now + const.RETRY_S * (0.5 + self._rng.random())
             return
         if self._servers.succeed(now):
-            self._fleet.registry.keep_lapsed(now)
+            self._keep_lapsed(now, fleet_const.LAPSED_KEPT_S)
+        if found.store_version < self._fleet.registry.version:
+            self._retry_at = now + const.RETRY_S
+            return
+        changes = self._view.replace(found.servers)
+        self._turns.on_known(now)
+        self._follow_list(found.store_version, now)
+        self.tell(
+            list_view.ListNews(
+                self._fleet.members.own.daemon,
+                found.store_version,
+                self._view.digest,
+                changes,
+                max(0.0, self._lapsed_until - now),
+                self._fleet.version,
+            )
+        )
+
+    def _keep_lapsed(self, now: float, seconds: float) -> None:
+        """Keep missing entries for a while: the list was away."""
+        self._lapsed_until = max(self._lapsed_until, now + seconds)
+        self._fleet.registry.keep_lapsed(self._lapsed_until)
+
+    def _follow_list(self, store_version: int, now: float) -> None:
+        """Follow the newest reading."""
         changes = self._fleet.registry.set_list(
-            found.store_version, found.servers, now
+            store_version, self._view.entries, now
         )
         for change in changes:
             logs.log_belief(
@@ -170,9 +231,8 @@
                 server=change.server_id,
                 change=change.kind,
                 detail=change.detail,
-                list_version=found.store_version,
+                list_version=store_version,
             )
-        self._loop.call_at(now + self._period_s, self._read_servers)
 
     def _write_member(self, now: float) -> None:
         """Write this daemon's row, now and once in a while."""
@@ -207,3 +267,7 @@
         wall_time = self._loop.wall_time()
         if self._fleet.set_members(rows, wall_time, const.MEMBER_VOID_S):
             logs.log_belief("members", count=len(self._fleet.members))
+
+
+def _ignore(news: list_view.ListNews) -> None:
+    """Tell nobody."""
--- /dev/null
+++ b/tarragonlift/components/gateway/news.py
@@ -0,0 +1,174 @@
+"""Datagrams between daemons: readings of the list, and crashes.
+
+A datagram needs no connection that could fall silent, and nothing depends on
+its arrival: who misses news reads the platform's list by itself.
+"""
+
+from __future__ import annotations
+
+from collections import abc
+import socket
+from typing import Any
+
+import attrs
+import msgpack
+
+from tarragonlift.components.data_path import const as path_const
+from tarragonlift.components.data_path import poller as poller_module
+from tarragonlift.core.fleet import list_view
+from tarragonlift.core.fleet import members as members_module
+from tarragonlift.core.fleet import models
+from tarragonlift.core import models as core_models
+from tarragonlift import exceptions
+
+TYPE_LIST = "list"
+TYPE_CRASH = "crash"
+# Largest datagram that is sent, in bytes; UDP carries 65,507.
+DATAGRAM_BYTES_MOST = 60_000
+READS_MOST = 64
+
+
+@attrs.frozen
+class CrashNews:
+    """A server died with a request of this fingerprint."""
+
+    fingerprint: str
+
+
+Message = list_view.ListNews | CrashNews
+
+
+class NewsSocket(poller_module.SocketHandler):
+    """Sends news to all other daemons and takes theirs."""
+
+    def __init__(
+        self,
+        poller: poller_module.DataPoller,
+        members: members_module.Members,
+        on_message: abc.Callable[[Message], None],
+        on_error: abc.Callable[[BaseException], None],
+    ) -> None:
+        """Prepare; ``listen`` begins."""
+        self._poller = poller
+        self._members = members
+        self._on_message = on_message
+        self._on_error = on_error
+        self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._sock.setblocking(False)
+
+    def listen(self, address: core_models.Address) -> core_models.Address:
+        """Take news from now on; return the address."""
+        self._sock.bind((address.host, address.port))
+        self._poller.attach(self._sock.fileno(), path_const.MASK_READ, self)
+        host, port = self._sock.getsockname()[:2]
+        return core_models.Address(host, port)
+
+    def send(self, message: Message) -> None:
+        """Tell all other daemons."""
+        data = msgpack.packb(encode(message))
+        if len(data) > DATAGRAM_BYTES_MOST:
+            # The others find by the next digest that they must read.
+            return
+        for member in self._members.others:
+            address = member.address
+            try:
+                self._sock.sendto(data, (address.host, address.port))
+            except OSError as error:
+                self._on_error(error)
+
+    def on_ready(self, mask: int) -> None:
+        """Take what waits."""
+        for _ in range(READS_MOST):
+            try:
+                data = self._sock.recv(1 << 16)
+            except BlockingIOError:
+                return
+            except OSError as error:
+                # The answer of a host without the daemon to a datagram.
+                self._on_error(error)
+                return
+            try:
+                message = decode(msgpack.unpackb(data))
+            except (exceptions.PeerError, ValueError) as error:
+                self._on_error(error)
+                continue
+            self._on_message(message)
+
+    def close(self) -> None:
+        """Take no more news."""
+        if self._sock.fileno() >= 0:
+            self._poller.detach(self._sock.fileno())
+            self._sock.close()
+
+
+def encode(message: Message) -> list[Any]:
+    """Return the message as plain data for msgpack."""
+    if isinstance(message, CrashNews):
+        return [TYPE_CRASH, message.fingerprint]
+    return [
+        TYPE_LIST,
+        message.daemon,
+        message.store_version,
+        message.digest,
+        [_encode_change(change) for change in message.changes],
+        message.lapsed_for_s,
+        message.configuration,
+    ]
+
+
+def decode(data: Any) -> Message:
+    """Return the message, or raise PeerError."""
+    try:
+        kind, *rest = data
+        if kind == TYPE_CRASH:
+            (fingerprint,) = rest
+            return CrashNews(str(fingerprint))
+        if kind == TYPE_LIST:
+            daemon, version, digest, changes, lapsed_for_s, adopted = rest
+            return list_view.ListNews(
+                str(daemon),
+                int(version),
+                int(digest),
+                tuple(_decode_change(change) for change in changes),
+                float(lapsed_for_s),
+                int(adopted),
+            )
+    except (TypeError, ValueError) as error:
+        raise exceptions.PeerError(str(error)) from error
+    raise exceptions.PeerError(f"message type {kind!r} is not known")
+
+
+def _encode_change(change: list_view.ListChange) -> list[Any]:
+    """Return a change as plain data."""
+    one = change.entry
+    if one is None:
+        return [change.server_id]
+    return [
+        one.server_id,
+        one.service,
+        str(one.address),
+        one.data_centre,
+        one.slots,
+        one.leaving,
+        one.cold_for_s,
+        one.born_ms,
+    ]
+
+
+def _decode_change(data: list[Any]) -> list_view.ListChange:
+    """Return a change from its plain data."""
+    server_id, *rest = data
+    if not rest:
+        return list_view.ListChange(server_id, None)
+    service, address, data_centre, slots, leaving, cold_for_s, born = rest
+    entry = models.ListedServer(
+        server_id,
+        service,
+        core_models.Address.parse(address),
+        data_centre,
+        slots,
+        leaving,
+        cold_for_s,
+        born,
+    )
+    return list_view.ListChange(server_id, entry)
--- a/tarragonlift/core/fleet/chooser.py
+++ b/tarragonlift/core/fleet/chooser.py
@@ -7,11 +7,11 @@
 
 import attrs
 
-from tarragonlift.core import latency
 from tarragonlift.core.fleet import const
 from tarragonlift.core.fleet import models
 from tarragonlift.core.fleet import registry as registry_module
 from tarragonlift.core.fleet import server as server_module
+from tarragonlift.core import latency
 
 FleetServer = server_module.FleetServer
 BYTES_PER_KIB = 1024.0
--- a/tarragonlift/core/fleet/const.py
+++ b/tarragonlift/core/fleet/const.py
@@ -77,3 +77,6 @@
 # Seconds for which entries that lapsed while the list could not be read are
 # kept after its return; the platform has servers enter again within two.
 LAPSED_KEPT_S = 2.0
+# Part of the longest age of the list after which the first daemon in line
+# reads it; the others follow one by one until the longest age.
+FIRST_READER_SHARE = 0.6
--- a/tarragonlift/core/fleet/doors.py
+++ b/tarragonlift/core/fleet/doors.py
@@ -7,9 +7,9 @@
 
 import attrs
 
-from tarragonlift import exceptions
 from tarragonlift.core.fleet import members
 from tarragonlift.core.fleet import models
+from tarragonlift import exceptions
 
 
 @attrs.frozen
--- a/tarragonlift/core/fleet/members.py
+++ b/tarragonlift/core/fleet/members.py
@@ -6,9 +6,9 @@
 
 import attrs
 
+from tarragonlift.core.fleet import const
 from tarragonlift.core import models
 from tarragonlift.core import rendezvous
-from tarragonlift.core.fleet import const
 
 
 @attrs.frozen
@@ -33,6 +33,11 @@
         """Return how many daemons are known."""
         return len(self._members)
 
+    @property
+    def names(self) -> tuple[str, ...]:
+        """Return the names of all daemons."""
+        return tuple(sorted(self._members))
+
     @property
     def own(self) -> Member:
         """Return this daemon."""
@@ -54,12 +59,6 @@
         self._owners.clear()
         return True
 
-    def add(self, member: Member) -> None:
-        """Know a daemon that has told of itself."""
-        if self._members.get(member.daemon) != member:
-            self._members[member.daemon] = member
-            self._owners.clear()
-
     def cold_owners(self, server_id: str, data_centre: str) -> tuple[str, ...]:
         """Return the daemons that may send to the server while it is cold.
 
--- a/tarragonlift/core/fleet/registry.py
+++ b/tarragonlift/core/fleet/registry.py
@@ -71,9 +71,9 @@
         self._out = wanted
         return changed
 
-    def keep_lapsed(self, now: float) -> None:
-        """Keep missing entries for a while: the list was away."""
-        self._kept_until = now + const.LAPSED_KEPT_S
+    def keep_lapsed(self, until: float) -> None:
+        """Keep missing entries until then: the list was away."""
+        self._kept_until = max(self._kept_until, until)
 
     def set_list(
         self,
--- a/tarragonlift/core/fleet/server.py
+++ b/tarragonlift/core/fleet/server.py
@@ -6,9 +6,9 @@
 
 import attrs
 
-from tarragonlift.core import latency
 from tarragonlift.core.fleet import const
 from tarragonlift.core.fleet import models
+from tarragonlift.core import latency
 
 
 @attrs.define
--- /dev/null
+++ b/tarragonlift/core/fleet/turns.py
@@ -0,0 +1,57 @@
+"""Decides which daemon reads the list of servers, and when.
+
+Each reading is told to all other daemons and puts off theirs. The daemons
+wait for different times, so that usually the same one reads; where it falls
+silent the next one does, and who hears of nobody reads by itself in time.
+"""
+
+from __future__ import annotations
+
+import math
+
+from tarragonlift.core.fleet import const
+from tarragonlift.core.fleet import members as members_module
+from tarragonlift.core import rendezvous
+
+KEY_LIST = "server-list"
+
+
+class ReadingTurns:
+    """Tells when this daemon has to read the list."""
+
+    def __init__(
+        self, members: members_module.Members, longest_s: float
+    ) -> None:
+        """Let the list never get older than ``longest_s`` seconds."""
+        self._members = members
+        self._longest_s = longest_s
+        self._known_at = -math.inf
+        self._ranked: tuple[str, ...] = ()
+        self._wait_s = longest_s
+
+    @property
+    def known_at(self) -> float:
+        """Return the time of the newest reading that is known here."""
+        return self._known_at
+
+    @property
+    def due_at(self) -> float:
+        """Return when this daemon reads unless another one does before."""
+        return self._known_at + self._wait()
+
+    def on_known(self, now: float) -> None:
+        """Note a reading, by this daemon or by another one."""
+        self._known_at = max(self._known_at, now)
+
+    def _wait(self) -> float:
+        """Return how long this daemon waits after a reading."""
+        names = self._members.names
+        if names != self._ranked:
+            self._ranked = names
+            hashed = rendezvous.hash_members(names)
+            order = rendezvous.rank(KEY_LIST, hashed, len(names))
+            place = order.index(self._members.own.daemon) / len(names)
+            first = const.FIRST_READER_SHARE
+            share = first + (1.0 - first) * place
+            self._wait_s = self._longest_s * share
+        return self._wait_s
--- /dev/null
+++ b/tests/core/fleet/common.py
@@ -0,0 +1,142 @@
+"""A small fleet for tests of its decisions."""
+
+from __future__ import annotations
+
+import random
+
+from tarragonlift.core import actions
+from tarragonlift.core.fleet import delivery as delivery_module
+from tarragonlift.core.fleet import doors
+from tarragonlift.core.fleet import fleet as fleet_module
+from tarragonlift.core.fleet import members
+from tarragonlift.core.fleet import models
+from tarragonlift.core import models as core_models
+
+HERE = "plovdiv"
+THERE = "stara"
+NOW = 100.0
+
+
+def entry(
+    server_id: str,
+    data_centre: str = HERE,
+    leaving: bool = False,
+    cold_for_s: float = 0.0,
+    born_ms: int = 1,
+    service: str = "orders",
+) -> models.ListedServer:
+    """Return an entry of the platform's list."""
+    port = 1000 + sum(server_id.encode())
+    return models.ListedServer(
+        server_id=server_id,
+        service=service,
+        address=core_models.Address("127.0.0.1", port),
+        data_centre=data_centre,
+        slots=6,
+        leaving=leaving,
+        cold_for_s=cold_for_s,
+        born_ms=born_ms,
+    )
+
+
+def route(idempotent: bool = True, **changes: object) -> models.Route:
+    """Return a route to the service ``orders``."""
+    fields: dict[str, object] = {
+        "name": "lookups" if idempotent else "orders",
+        "host": "shop.example",
+        "prefix": "/lookup/" if idempotent else "/order/",
+        "idempotent": idempotent,
+        "targets": (models.Target("orders", 1.0),),
+        "timeout_s": 1.0,
+        "aim_s": 0.25,
+        "attempts_most": 2,
+    }
+    fields.update(changes)
+    return models.Route(**fields)  # type: ignore[arg-type]
+
+
+def configuration(
+    version: int = 1, *routes: models.Route
+) -> models.FleetConfiguration:
+    """Return a configuration with one service."""
+    return models.FleetConfiguration(
+        version,
+        routes or (route(), route(idempotent=False)),
+        {
+            "orders": models.FleetService(
+                "orders", warm_up_s=3.0, cold_rate=18.0
+            )
+        },
+    )
+
+
+def member(name: str, data_centre: str = HERE) -> members.Member:
+    """Return a daemon."""
+    port = 2000 + sum(name.encode())
+    return members.Member(
+        name, data_centre, core_models.Address("127.0.0.1", port)
+    )
+
+
+def fleet(
+    *entries: models.ListedServer, name: str = "daemon-1"
+) -> fleet_module.Fleet:
+    """Return a fleet that knows a configuration and these servers."""
+    made = fleet_module.Fleet(
+        member(name),
+        fleet_module.ExtraCalls(0.2, 62.0),
+        0.05,
+        random.Random(1),
+    )
+    made.take_news(doors.OperatorNews(1, configuration(), {}, True))
+    made.registry.set_list(1, entries, NOW)
+    return made
+
+
+def report(
+    made: fleet_module.Fleet,
+    server_id: str,
+    running: int = 0,
+    slowdown: float = 1.0,
+    now: float = NOW,
+    waiting: int = 0,
+) -> None:
+    """Let a server report its load at this moment."""
+    server = made.registry.get(server_id)
+    assert server is not None
+    load = models.LoadReport(running, waiting, 6, slowdown)
+    server.take_health(models.Health(server_id, True, load), now)
+
+
+def open_delivery(
+    made: fleet_module.Fleet,
+    path: str = "/lookup/1",
+    time_left_s: float = 2.0,
+    now: float = NOW,
+) -> delivery_module.Delivery:
+    """Return the delivery of a request."""
+    head = fleet_module.RequestHead("r-1", "shop.example", path, time_left_s)
+    opened = made.open_delivery(head, now)
+    opened.fingerprint = "print"
+    return opened
+
+
+def of_type(
+    wanted: list[actions.Action], kind: type[actions.Action]
+) -> list[actions.Action]:
+    """Return the actions of a kind."""
+    return [one for one in wanted if isinstance(one, kind)]
+
+
+def sent(wanted: list[actions.Action]) -> actions.Attempt:
+    """Return the attempt of the only sending among the actions."""
+    (action,) = of_type(wanted, actions.Send)
+    assert isinstance(action, actions.Send)
+    return action.attempt
+
+
+def refused(wanted: list[actions.Action]) -> actions.Refuse:
+    """Return the only refusal among the actions."""
+    (action,) = of_type(wanted, actions.Refuse)
+    assert isinstance(action, actions.Refuse)
+    return action
--- /dev/null
+++ b/tests/core/fleet/test_chooser.py
@@ -0,0 +1,88 @@
+"""Tests of choosing a server."""
+
+from __future__ import annotations
+
+from tarragonlift.core.fleet import delivery as delivery_module
+from tests.core.fleet import common
+
+NOW = common.NOW
+
+
+class TestChooser:
+    """A late answer weighs more than bytes between data centres."""
+
+    def test_servers_are_asked_where_nothing_is_fresh(self) -> None:
+        """Ask servers of the own data centre first."""
+        made = common.fleet(common.entry("a"), common.entry("b", common.THERE))
+        wanted = common.open_delivery(made).start(NOW)
+        (probe,) = common.of_type(wanted, delivery_module.Probe)
+        assert isinstance(probe, delivery_module.Probe)
+        assert [one.server_id for one in probe.servers] == ["a"]
+
+    def test_slow_server_at_hand_loses_to_a_fast_one_elsewhere(self) -> None:
+        """Cross where the answer would be late otherwise."""
+        made = common.fleet(common.entry("a"), common.entry("b", common.THERE))
+        common.report(made, "a", slowdown=7.0)
+        common.report(made, "b")
+        attempt = common.sent(common.open_delivery(made).start(NOW))
+        assert attempt.backend.server_id == "b"
+
+    def test_server_at_hand_wins_among_equals(self) -> None:
+        """Stay where the answer is in time anyway."""
+        made = common.fleet(common.entry("a"), common.entry("b", common.THERE))
+        common.report(made, "a", running=2)
+        common.report(made, "b")
+        attempt = common.sent(common.open_delivery(made).start(NOW))
+        assert attempt.backend.server_id == "a"
+
+    def test_long_body_stays_at_hand(self) -> None:
+        """Do not move a long body for a late answer."""
+        made = common.fleet(common.entry("a"), common.entry("b", common.THERE))
+        common.report(made, "a", slowdown=7.0)
+        common.report(made, "b")
+        delivery = common.open_delivery(made, "/order/1")
+        delivery.body_bytes = 60_000
+        attempt = common.sent(delivery.start(NOW))
+        assert attempt.backend.server_id == "a"
+
+    def test_own_requests_since_the_report_count(self) -> None:
+        """Spread requests that are sent on one report."""
+        made = common.fleet(common.entry("a"), common.entry("b"))
+        common.report(made, "a", running=4)
+        common.report(made, "b", running=4)
+        chosen = [
+            common.sent(common.open_delivery(made).start(NOW))
+            for _ in range(4)
+        ]
+        names = sorted(one.backend.server_id for one in chosen)
+        assert names == ["a", "a", "b", "b"]
+
+
+class TestSplit:
+    """Shares of a route's services."""
+
+    def test_shares_follow_the_weights(self) -> None:
+        """Give each service its share over any stretch."""
+        made = common.fleet()
+        targets = (
+            common.models.Target("orders", 90.0),
+            common.models.Target("archive", 10.0),
+        )
+        made.adopt(common.configuration(2, common.route(targets=targets)))
+        services = [
+            common.open_delivery(made).request.service for _ in range(100)
+        ]
+        assert 9 <= services.count("archive") <= 11
+
+    def test_longest_prefix_wins(self) -> None:
+        """Take the route with the longest prefix of the path."""
+        made = common.fleet()
+        made.adopt(
+            common.configuration(
+                2,
+                common.route(name="short", prefix="/a/"),
+                common.route(name="long", prefix="/a/b/"),
+            )
+        )
+        opened = common.open_delivery(made, "/a/b/c")
+        assert opened.request.route.name == "long"
--- /dev/null
+++ b/tests/core/fleet/test_registry.py
@@ -0,0 +1,130 @@
+"""Tests of following the platform's list of servers."""
+
+from __future__ import annotations
+
+from tarragonlift.core.fleet import const
+from tarragonlift.core.fleet import doors
+from tests.core.fleet import common
+
+NOW = common.NOW
+
+
+class TestList:
+    """Servers come, leave and lapse."""
+
+    def test_leaving_server_gets_nothing(self) -> None:
+        """Send nothing from the moment at which the list says so."""
+        made = common.fleet(common.entry("a"))
+        made.registry.set_list(2, [common.entry("a", leaving=True)], NOW)
+        assert made.registry.usable("orders") == []
+
+    def test_missing_server_is_gone(self) -> None:
+        """Send nothing to a server that is not listed any more."""
+        made = common.fleet(common.entry("a"), common.entry("b"))
+        server = made.registry.get("a")
+        made.registry.set_list(2, [common.entry("b")], NOW)
+        assert server is not None
+        assert not made.registry.may_send(server, NOW)
+
+    def test_older_reading_changes_nothing(self) -> None:
+        """Keep what a newer version of the list said."""
+        made = common.fleet(common.entry("a"))
+        made.registry.set_list(9, [common.entry("a", leaving=True)], NOW)
+        made.registry.set_list(8, [common.entry("a")], NOW)
+        assert made.registry.usable("orders") == []
+
+    def test_lapsed_entry_is_kept_while_servers_return(self) -> None:
+        """Keep a missing entry for a while after the list was away."""
+        made = common.fleet(common.entry("a"))
+        made.registry.keep_lapsed(NOW + const.LAPSED_KEPT_S)
+        made.registry.set_list(2, [], NOW + 0.5)
+        assert made.registry.usable("orders")
+        made.registry.set_list(3, [], NOW + const.LAPSED_KEPT_S)
+        assert made.registry.usable("orders") == []
+
+    def test_restarted_server_is_known_anew(self) -> None:
+        """Forget what an earlier process of the name said."""
+        made = common.fleet(common.entry("a"))
+        before = made.registry.get("a")
+        made.registry.set_list(
+            2, [common.entry("a", born_ms=2, cold_for_s=3.0)], NOW
+        )
+        after = made.registry.get("a")
+        assert before is not None and before.gone
+        assert after is not None and after.is_cold(NOW + 1)
+
+    def test_heartbeat_of_an_earlier_process_is_ignored(self) -> None:
+        """Keep to the process that was born last."""
+        made = common.fleet(common.entry("a", born_ms=2))
+        made.registry.set_list(
+            2, [common.entry("a", born_ms=1, leaving=True)], NOW
+        )
+        assert made.registry.usable("orders")
+
+
+class TestDataCentres:
+    """Data centres that operators take out."""
+
+    def test_nothing_is_sent_there(self) -> None:
+        """Use no server of a data centre that is out."""
+        made = common.fleet(common.entry("a"))
+        made.take_news(doors.OperatorNews(2, None, {common.HERE: True}))
+        assert made.registry.usable("orders") == []
+
+    def test_whole_reading_brings_it_back(self) -> None:
+        """Use it again where a whole reading does not name it."""
+        made = common.fleet(common.entry("a"))
+        made.take_news(doors.OperatorNews(2, None, {common.HERE: True}))
+        made.take_news(doors.OperatorNews(3, None, {}, True))
+        assert made.registry.usable("orders")
+
+    def test_older_reading_does_not_bring_it_back(self) -> None:
+        """Keep it out against a reading of before."""
+        made = common.fleet(common.entry("a"))
+        made.take_news(doors.OperatorNews(5, None, {common.HERE: True}))
+        made.take_news(doors.OperatorNews(4, None, {}, True))
+        assert made.registry.usable("orders") == []
+
+
+class TestConfiguration:
+    """The version in force only grows."""
+
+    def test_older_version_is_not_adopted(self) -> None:
+        """Keep the newer version."""
+        made = common.fleet()
+        assert made.adopt(common.configuration(7))
+        assert not made.adopt(common.configuration(6))
+        assert made.version == 7
+
+
+class TestColdServers:
+    """What all daemons together send to a cold server."""
+
+    def test_sum_over_all_daemons_stays_within_its_rate(self) -> None:
+        """Never send more in a second than the cold rate allows."""
+        names = [f"daemon-{number}" for number in range(18)]
+        rows = [doors.MemberRow(common.member(name), NOW) for name in names]
+        sent_at = []
+        for name in names:
+            made = common.fleet(common.entry("a", cold_for_s=3.0), name=name)
+            made.set_members(rows, NOW, 60.0)
+            server = made.registry.get("a")
+            assert server is not None
+            for step in range(3000):
+                now = NOW + step / 1000
+                if made.registry.may_send(server, now):
+                    made.registry.note_sent(server, now)
+                    sent_at.append(now)
+        sent_at.sort()
+        most = max(
+            sum(1 for other in sent_at if one <= other < one + 1.0)
+            for one in sent_at
+        )
+        assert 0 < most <= 18
+
+    def test_warm_server_is_free_to_all(self) -> None:
+        """Spread over all daemons once a server is warm."""
+        made = common.fleet(common.entry("a", cold_for_s=3.0))
+        server = made.registry.get("a")
+        assert server is not None
+        assert made.registry.may_send(server, NOW + 3.1)
