--- a/tests/core/fleet/test_delivery.py
+++ b/tests/core/fleet/test_delivery.py
@@ -203,3 +203,37 @@
         attempt = common.sent(delivery.start(NOW))
         delivery.on_answer(attempt, Verdict.SUCCESS, NOW + 0.1)
         assert not made.crash_book.clear("print")
+
+
+class TestOverload:
+    """More requests than the servers can answer in time."""
+
+    def test_late_request_does_not_queue(self) -> None:
+        """Refuse early what would wait in a queue and be late."""
+        made = common.fleet(common.entry("a"))
+        common.report(made, "a", running=6, waiting=20)
+        delivery = common.open_delivery(made)
+        wanted = delivery.start(NOW)
+        assert not common.of_type(wanted, actions.Send)
+        common.report(made, "a", 6, now=NOW + 0.05, waiting=20)
+        refusal = common.refused(delivery.on_pause_over(NOW + 0.05)).refusal
+        assert isinstance(refusal, exceptions.Overloaded)
+
+    def test_late_request_takes_a_free_slot(self) -> None:
+        """Send to a slow server that has nothing else to do."""
+        made = common.fleet(common.entry("a"))
+        common.report(made, "a", slowdown=7.0)
+        common.sent(common.open_delivery(made).start(NOW))
+
+    def test_short_queue_is_used(self) -> None:
+        """Queue where the answer will still be in time."""
+        made = common.fleet(common.entry("a"))
+        common.report(made, "a", running=6)
+        common.sent(common.open_delivery(made).start(NOW))
+
+    def test_caller_that_was_refused_before_is_late_already(self) -> None:
+        """Count the target latency from the caller's first sending."""
+        made = common.fleet(common.entry("a"))
+        common.open_delivery(made, time_left_s=2.0)
+        again = common.open_delivery(made, time_left_s=1.5)
+        assert again.request.aim_at == NOW + 0.25 - 0.5
