--- a/tarragonlift/components/gateway/gateway.py
+++ b/tarragonlift/components/gateway/gateway.py
@@ -191,7 +191,8 @@
         """Return the fields of an answer made by tarragonlift itself."""
         request = exchange.delivery.request
         now = time.monotonic()
-        come_back = refusals.come_back_s(request, now)
+        left = request.deadline_at - now
+        come_back = refusals.come_back_s(refusal, left)
         return self.dialect.refusal_fields(request.request_id, come_back)
 
     def on_done(self, exchange: Exchange) -> None:
@@ -241,7 +242,7 @@
             connection.close_after_answer()
         left = self.dialect.time_left_s(head) or 0.0
         fields = self.dialect.refusal_fields(
-            request_id, refusals.within_bounds(left)
+            request_id, refusals.come_back_s(refusal, left)
         )
         return data_server.Refused(
             connection, head, refusal, request_id, fields
--- a/tarragonlift/core/fleet/const.py
+++ b/tarragonlift/core/fleet/const.py
@@ -12,8 +12,16 @@
 PROBE_ROUNDS_MOST = 2
 # Share of the target latency for which a request may wait for room.
 HOLD_SHARE = 0.125
-# Pause between two looks for a server with room, in seconds.
-HOLD_PAUSE_S = 0.015
+# A caller with this much less time than others of its route has sent before;
+# below it is the way of its first request, in seconds.
+ELAPSED_LEAST_S = 0.05
+# Pause between two looks for a server with room, in seconds: a request
+# ends at a busy server every few milliseconds, each look costs probes.
+HOLD_PAUSE_S = 0.03
+# Chance of a late answer up to which a request waits in a server's queue:
+# one of the most urgent routes of its service, and any other.
+LATE_CHANCE_URGENT = 0.85
+LATE_CHANCE_OTHERS = 0.6
 
 # Worth of an answer that comes late, as a share of one in time.
 LATE_LOSS = 0.9
@@ -70,8 +78,9 @@
 # Share of the time left within which a refused caller should come back;
 # callers honour at most a third.
 COME_BACK_SHARE = 0.3
-# Longest and shortest time for which a refused caller stays away, seconds.
-COME_BACK_MOST_S = 0.5
+# Longest time for which a caller stays away after a refusal that is not for
+# overload, and shortest after any, in seconds.
+COME_BACK_SOON_S = 0.2
 COME_BACK_LEAST_S = 0.05
 
 # Seconds for which entries that lapsed while the list could not be read are
--- a/tarragonlift/core/fleet/delivery.py
+++ b/tarragonlift/core/fleet/delivery.py
@@ -231,17 +231,30 @@
             return [Probe(choice.servers)]
         if choice is None:
             return self._wait_for_room(now)
-        if now + choice.expected_s > self._request.final_at:
-            if self._is_hopeless(choice, now):
-                return self._give_up(exceptions.Overloaded(Outcome.NOT_RUN))
+        if not self._is_admitted(choice, now):
+            return self._hold(exceptions.Overloaded(Outcome.NOT_RUN), now)
         return self._send(choice, now)
 
-    def _is_hopeless(self, choice: chooser_module.Choice, now: float) -> bool:
-        """Return whether even a usual answer would come too late."""
-        left = self._request.final_at - now
-        times = self._context.chooser.service_times
-        usual = times.get(self._request.route)
-        return left < usual or choice.server.busy() > 4 * choice.server.slots
+    def _is_admitted(self, choice: chooser_module.Choice, now: float) -> bool:
+        """Return whether the request may take a place at the server.
+
+        A request that will probably be late only takes a free slot: in a
+        queue it would make others late as well.
+        """
+        if now + choice.expected_s > self._request.final_at:
+            return False
+        if choice.server.has_free_slot:
+            return True
+        left = self._request.aim_at - now
+        chance = self._context.chooser.late_chance(choice.expected_s, left)
+        return chance <= self._late_chance_most
+
+    @property
+    def _late_chance_most(self) -> float:
+        """Return the chance of a late answer at which a request queues."""
+        if self._request.is_urgent:
+            return const.LATE_CHANCE_URGENT
+        return const.LATE_CHANCE_OTHERS
 
     def _choose(
         self, now: float
@@ -253,12 +266,17 @@
 
     def _wait_for_room(self, now: float) -> Actions:
         """Wait a little for a server that may take the request."""
-        hold = const.HOLD_SHARE * self._request.route.aim_s
-        if now - self._seeking_since >= hold:
-            return self._give_up(exceptions.NoBackendServer(Outcome.NOT_RUN))
         if self._tried and not self._attempts:
             self._tried.clear()
-        return [actions.PauseUntil(now + const.HOLD_PAUSE_S)]
+        return self._hold(exceptions.NoBackendServer(Outcome.NOT_RUN), now)
+
+    def _hold(self, refusal: exceptions.Refusal, now: float) -> Actions:
+        """Look again after a pause, or refuse once that took too long."""
+        hold = const.HOLD_SHARE * self._request.route.aim_s
+        pause_until = now + const.HOLD_PAUSE_S
+        if pause_until - self._seeking_since > hold:
+            return self._give_up(refusal)
+        return [actions.PauseUntil(pause_until)]
 
     def _send(self, choice: chooser_module.Choice, now: float) -> Actions:
         """Send to the chosen server."""
@@ -330,7 +348,9 @@
         return [actions.WakeAt(self._hedge_at)]
 
     def _is_worth(self, choice: chooser_module.Choice, now: float) -> bool:
-        """Return whether the second answer will come in time at all."""
+        """Return whether a free server will answer in time at all."""
+        if not choice.server.has_free_slot:
+            return False
         ends_at = now + choice.expected_s
         if self._hedges <= 1:
             return ends_at <= self._request.aim_at
--- a/tarragonlift/core/fleet/fleet.py
+++ b/tarragonlift/core/fleet/fleet.py
@@ -58,6 +58,8 @@
         self._extra_calls = extra_calls
         self._configuration: models.FleetConfiguration | None = None
         self._routes = routes.RouteTable((), rng)
+        self._longest: dict[str, float] = {}
+        self._urgent: frozenset[str] = frozenset()
         self._operators_version = 0
         self.members = members_module.Members(own)
         self.registry = registry.Registry(self.members)
@@ -100,6 +102,8 @@
             return False
         self._configuration = configuration
         self._routes = routes.RouteTable(configuration.routes, self._rng)
+        self._longest = {}
+        self._urgent = routes.most_urgent(configuration.routes)
         self.registry.set_services(configuration.services)
         names = set(configuration.services)
         for route in configuration.routes:
@@ -158,9 +162,22 @@
             version=self.version,
             received_at=now,
             deadline_at=now + head.time_left_s,
+            elapsed_s=self._elapsed_s(route, head.time_left_s),
+            is_urgent=route.name in self._urgent,
         )
         return delivery.Delivery(request, self._context)
 
+    def _elapsed_s(self, route: models.Route, left_s: float) -> float:
+        """Return how long ago the caller sent first.
+
+        Callers of a route begin with the same time; who has less of it now
+        was refused or failed before.
+        """
+        longest = max(left_s, self._longest.get(route.name, 0.0))
+        self._longest[route.name] = longest
+        elapsed = longest - left_s
+        return elapsed if elapsed > const.ELAPSED_LEAST_S else 0.0
+
     @property
     def _budget_most(self) -> float:
         """Return this daemon's part of the fixed number of extra calls."""
--- a/tarragonlift/core/fleet/models.py
+++ b/tarragonlift/core/fleet/models.py
@@ -127,6 +127,10 @@
     version: int
     received_at: float
     deadline_at: float
+    # Seconds since the caller's first sending, where this is a later one.
+    elapsed_s: float = 0.0
+    # No route of the service has a higher rank.
+    is_urgent: bool = True
 
     @property
     def final_at(self) -> float:
@@ -136,4 +140,4 @@
     @property
     def aim_at(self) -> float:
         """Return until when the answer is worth most."""
-        return self.received_at + self.route.aim_s
+        return self.received_at + self.route.aim_s - self.elapsed_s
--- a/tarragonlift/core/fleet/refusals.py
+++ b/tarragonlift/core/fleet/refusals.py
@@ -3,18 +3,16 @@
 from __future__ import annotations
 
 from tarragonlift.core.fleet import const
-from tarragonlift.core.fleet import models
+from tarragonlift import exceptions
 
 
-def come_back_s(request: models.RoutedRequest, now: float) -> float:
-    """Return after how many seconds the caller should send again."""
-    return within_bounds(request.deadline_at - now)
+def come_back_s(refusal: exceptions.Refusal, left_s: float) -> float:
+    """Return after how many seconds the caller should send again.
 
-
-def within_bounds(left_s: float) -> float:
-    """Return the pause for a caller with this much time left, in seconds.
-
-    Callers honour a pause of at most a third of their time.
+    Callers honour a pause of at most a third of the ``left_s`` seconds that
+    they have. After an overload the longest pause spreads the load most.
     """
-    wanted = max(const.COME_BACK_LEAST_S, const.COME_BACK_SHARE * left_s)
-    return min(wanted, const.COME_BACK_MOST_S)
+    pause = const.COME_BACK_SHARE * left_s
+    if not isinstance(refusal, exceptions.Overloaded):
+        pause = min(pause, const.COME_BACK_SOON_S)
+    return max(const.COME_BACK_LEAST_S, pause)
--- a/tarragonlift/core/fleet/routes.py
+++ b/tarragonlift/core/fleet/routes.py
@@ -49,3 +49,20 @@
         chosen = max(credits, key=lambda name: credits[name])
         credits[chosen] -= total
         return chosen
+
+
+def most_urgent(routes: abc.Iterable[models.Route]) -> frozenset[str]:
+    """Return the routes of the highest rank at any of their services."""
+    ranks: dict[str, int] = {}
+    known = list(routes)
+    for route in known:
+        for target in route.targets:
+            rank = ranks.get(target.service, route.priority)
+            ranks[target.service] = min(rank, route.priority)
+    return frozenset(
+        route.name
+        for route in known
+        if any(
+            route.priority <= ranks[target.service] for target in route.targets
+        )
+    )
--- a/tarragonlift/core/fleet/server.py
+++ b/tarragonlift/core/fleet/server.py
@@ -58,6 +58,11 @@
         """Return how many requests it runs at once."""
         return max(1, self.load.slots if self.load else self.entry.slots)
 
+    @property
+    def has_free_slot(self) -> bool:
+        """Return whether a request would begin to run at once."""
+        return self.busy() < self.slots
+
     def report_age(self, now: float) -> float:
         """Return how many seconds old the last report is."""
         return now - self.reported_at
