--- a/tarragonlift/components/data_path/caller.py
+++ b/tarragonlift/components/data_path/caller.py
@@ -314,6 +314,8 @@
             self._refusal = _bad_request()
         elif sum(1 for name, _ in self._headers if _is_host(name)) != 1:
             self._refusal = _bad_request()
+        elif _head_size(head) > self.limits.head_bytes:
+            self._refusal = exceptions.HeadTooLarge(_NOT_RUN)
         length = fields.get(b"content-length")
         if length is not None:
             head.content_length = int(length)
@@ -413,3 +415,9 @@
 def _is_host(name: bytes) -> bool:
     """Return whether the header field is Host."""
     return name.lower() == b"host"
+
+
+def _head_size(head: RequestHead) -> int:
+    """Return how many bytes the request's head had, framing included."""
+    fields = sum(len(name) + len(value) + 4 for name, value in head.headers)
+    return len(head.method) + len(head.target) + 12 + fields + 2
--- a/tarragonlift/components/gateway/daemon.py
+++ b/tarragonlift/components/gateway/daemon.py
@@ -126,18 +126,26 @@
         if self._follower is not None:
             self._follower.start()
             self._take_turns(time.monotonic())
-        self._ready.listen(settings.ready)
+        ready = self._ready.listen(settings.ready)
         if settings.metrics is not None:
-            self._shown.listen(settings.metrics)
+            self._show_metrics(settings.metrics)
         address = self._gateway.listen(settings.listen)
         logs.log_belief(
             "start",
             daemon=settings.daemon,
             data_centre=settings.data_centre,
             listen=str(address),
+            ready=str(ready),
         )
         self._tick(time.monotonic())
 
+    def _show_metrics(self, address: models.Address) -> None:
+        """Serve metrics; without them the daemon still serves callers."""
+        try:
+            self._shown.listen(address)
+        except OSError as error:
+            logs.log_error(error, metrics=str(address))
+
     def _on_news(self, message: news.Message) -> None:
         """Take what another daemon tells."""
         if isinstance(message, news.CrashNews):
--- /dev/null
+++ b/tests/components/gateway/test_news.py
@@ -0,0 +1,45 @@
+"""Tests of the datagrams between daemons."""
+
+from __future__ import annotations
+
+import msgpack
+import pytest
+
+from tarragonlift.components.gateway import news
+from tarragonlift.core.fleet import list_view
+from tarragonlift import exceptions
+from tests.core.fleet import common
+
+
+class TestMessages:
+    """What is sent is what is taken."""
+
+    @pytest.mark.parametrize(
+        "message",
+        [
+            news.CrashNews("print"),
+            list_view.ListNews(
+                "d",
+                7,
+                1 << 63,
+                (
+                    list_view.ListChange("a", common.entry("a")),
+                    list_view.ListChange("b", None),
+                ),
+                1.5,
+                4,
+            ),
+        ],
+    )
+    def test_round_trip(self, message: news.Message) -> None:
+        """Decode what was encoded."""
+        data = msgpack.packb(news.encode(message))
+        assert news.decode(msgpack.unpackb(data)) == message
+
+    @pytest.mark.parametrize(
+        "data", [None, [], ["other"], ["list", 1], ["crash"], 7]
+    )
+    def test_foreign_data_is_an_error(self, data: object) -> None:
+        """Raise a typed error for anything else."""
+        with pytest.raises(exceptions.PeerError):
+            news.decode(data)
--- /dev/null
+++ b/tests/platform/test_adapter.py
@@ -0,0 +1,222 @@
+"""Tests of the translation of the platform's documents and fields."""
+
+from __future__ import annotations
+
+import json
+import math
+import pathlib
+import re
+import tomllib
+
+import pytest
+
+from tarragonlift.components.data_path import client
+from tarragonlift.core.fleet import delivery
+from tarragonlift import exceptions
+from tarragonlift_platform import dialect
+from tarragonlift_platform import documents
+from tarragonlift_platform import settings
+from tarragonlift_platform import units
+from tests.platform import standin
+
+ROOT = standin.ROOT
+Verdict = delivery.Verdict
+
+
+class TestUnits:
+    """Durations."""
+
+    def test_milliseconds_and_seconds(self) -> None:
+        """Read both units."""
+        assert units.seconds("1500ms") == 1.5
+        assert units.seconds("2.5s") == 2.5
+
+    @pytest.mark.parametrize("text", ["", "5", "ms", 7, None])
+    def test_anything_else_is_an_error(self, text: object) -> None:
+        """Raise ValueError."""
+        with pytest.raises(ValueError):
+            units.seconds(text)
+
+
+class TestServers:
+    """Entries of the list."""
+
+    ENTRY = {
+        "address": "10.0.0.1:8080",
+        "serverInfo": {
+            "service": "s",
+            "version": "v",
+            "zone": "z",
+            "slots": 6,
+        },
+        "status": {"state": "draining", "seq": 4, "warmupLeft": "500ms"},
+        "born": 17,
+    }
+
+    def test_entry_is_decoded(self) -> None:
+        """Take every field into the product's terms."""
+        value = json.dumps(self.ENTRY).encode()
+        found = documents.listed_server("i-1", value)
+        assert found.leaving
+        assert found.cold_for_s == 0.5
+        assert found.born_ms == 17
+        assert str(found.address) == "10.0.0.1:8080"
+
+    @pytest.mark.parametrize(
+        ("path", "value"),
+        [
+            (("address",), 7),
+            (("address",), "nowhere"),
+            (("serverInfo", "slots"), "six"),
+            (("serverInfo", "service"), None),
+            (("status", "state"), "asleep"),
+            (("status", "warmupLeft"), 5),
+            (("serverInfo",), None),
+            (("born",), "early"),
+        ],
+    )
+    def test_other_types_are_unreadable(
+        self, path: tuple[str, ...], value: object
+    ) -> None:
+        """Raise a typed error for a field of another type."""
+        document = json.loads(json.dumps(self.ENTRY))
+        place = document
+        for key in path[:-1]:
+            place = place[key]
+        place[path[-1]] = value
+        with pytest.raises(documents.UnreadableDocument):
+            documents.listed_server("i-1", json.dumps(document).encode())
+
+    def test_bytes_that_are_no_document_are_unreadable(self) -> None:
+        """Raise a typed error."""
+        with pytest.raises(documents.UnreadableDocument):
+            documents.listed_server("i-1", b"\xff")
+
+
+class TestConfiguration:
+    """The operators' document."""
+
+    def test_routes_and_services(self) -> None:
+        """Take kinds, splits and times."""
+        document = standin.configuration(9)
+        document["routes"]["r-look"]["trafficSplit"] = [
+            {"service": "svc", "weight": 90},
+            {"service": "other", "weight": 10},
+        ]
+        del document["routes"]["r-order"]["timeout"]
+        found = documents.configuration(json.dumps(document).encode())
+        routes = {one.name: one for one in found.routes}
+        assert found.version == 9
+        assert routes["r-look"].idempotent
+        assert [one.weight for one in routes["r-look"].targets] == [90, 10]
+        assert not routes["r-order"].idempotent
+        assert routes["r-order"].timeout_s == math.inf
+        assert routes["r-upload"].bulky
+        assert not routes["r-upload"].idempotent
+        assert found.services["svc"].cold_rate == 18.0
+        assert found.limits.idle_timeout_s == 15.0
+
+
+class TestDialect:
+    """Header fields and statuses."""
+
+    SAID = dialect.PlatformDialect()
+
+    @pytest.mark.parametrize(
+        ("status", "fields", "verdict"),
+        [
+            (200, {"X-Server-Signature": "s"}, Verdict.SUCCESS),
+            (200, {}, Verdict.INVALID),
+            (500, {"X-Server-Signature": "s"}, Verdict.FAILURE),
+            (503, {"X-Not-Executed": "1"}, Verdict.NOT_RUN),
+            (429, {"X-Not-Executed": "1"}, Verdict.NOT_RUN),
+            (503, {}, Verdict.INVALID),
+            (421, {"X-Instance-Id": "i"}, Verdict.MISPLACED),
+        ],
+    )
+    def test_verdict(
+        self, status: int, fields: dict[str, str], verdict: Verdict
+    ) -> None:
+        """Tell what was run from what was not."""
+        assert self.SAID.verdict(answer_head(status, fields)) is verdict
+
+    def test_answer_of_another_request_does_not_belong(self) -> None:
+        """Go by the identifier."""
+        head = answer_head(200, {"X-Request-Id": "r-1"})
+        assert self.SAID.belongs(head, "r-1")
+        assert not self.SAID.belongs(head, "r-2")
+
+    def test_load_with_and_without_the_fourth_figure(self) -> None:
+        """Read running, waiting, slots and percent of the usual time."""
+        head = answer_head(200, {"X-Instance-Load": "3,1,8,700"})
+        load = self.SAID.load(head)
+        assert load is not None
+        assert (load.running, load.waiting, load.slots) == (3, 1, 8)
+        assert load.slowdown == 7.0
+        short = self.SAID.load(answer_head(200, {"X-Instance-Load": "3,1,8"}))
+        assert short is not None and short.slowdown == 1.0
+        odd = answer_head(200, {"X-Instance-Load": "many"})
+        assert self.SAID.load(odd) is None
+
+    @pytest.mark.parametrize(
+        ("text", "seconds"), [("1500", 1.5), ("1500ms", 1.5), ("2s", 2.0)]
+    )
+    def test_time_left_cold(self, text: str, seconds: float) -> None:
+        """Read how long a server stays cold."""
+        head = answer_head(200, {"X-Warmup-Remaining": text})
+        assert self.SAID.health(head).cold_for_s == seconds
+
+
+class TestSettings:
+    """The settings file of the platform."""
+
+    def test_example_is_read(self) -> None:
+        """Take addresses and bounds."""
+        text = standin.SETTINGS.format(store="10.0.0.9:80")
+        found = settings.parse_settings(text, "file")
+        assert found.process.known_within_s == 2.0
+        assert str(found.store) == "10.0.0.9:80"
+
+    def test_every_error_is_told_at_once(self) -> None:
+        """List all places that are wrong."""
+        text = "nodeName=a\nbind.front=x\nbounds.drain=soon\n"
+        with pytest.raises(exceptions.InvalidDocument) as caught:
+            settings.parse_settings(text, "file")
+        places = {problem.place for problem in caught.value.problems}
+        assert {"zone", "bind.front", "bounds.drain"} <= places
+
+
+class TestBoundary:
+    """Names of the wire stay in the adapter."""
+
+    NAMES = re.compile(
+        "rows-tx|rows-feed|rows-get|blob-put|serverInfo|warmupLeft|"
+        "warmupPerS|trafficSplit|targetLatency|maxAttempts|X-Request-Id|"
+        "X-Server-Signature|X-Not-Executed|X-Target-Instance|"
+        "X-Request-Deadline|X-Instance-Load|nodeName",
+        re.IGNORECASE,
+    )
+
+    def test_product_has_no_name_of_the_wire(self) -> None:
+        """Find none of the platform's names in the product."""
+        found = [
+            str(path)
+            for path in pathlib.Path(ROOT, "tarragonlift").rglob("*.py")
+            if self.NAMES.search(path.read_text("utf-8"))
+        ]
+        assert found == []
+
+    def test_build_takes_the_product_s_dependencies(self) -> None:
+        """Keep requirements.txt in step with pyproject.toml."""
+        project = tomllib.loads((ROOT / "pyproject.toml").read_text())
+        wanted = set(project["project"]["dependencies"])
+        listed = (ROOT / "requirements.txt").read_text().split()
+        assert set(listed) <= wanted
+        # The command line is not part of the daemon.
+        assert {one.split(">")[0] for one in wanted - set(listed)} == {"typer"}
+
+
+def answer_head(status: int, fields: dict[str, str]) -> client.AnswerHead:
+    """Return the head of a server's answer."""
+    headers = [(k.encode(), v.encode()) for k, v in fields.items()]
+    return client.AnswerHead(status, headers)
