--- a/tarragonlift/components/daemon/__init__.py
+++ b/tarragonlift/components/daemon/__init__.py
@@ -20,8 +20,8 @@
 from tarragonlift.components.daemon import const
 from tarragonlift.components.daemon import pages
 from tarragonlift.components import data_centres
-from tarragonlift.components import data_path
 from tarragonlift.components.data_path import poller as poller_module
+from tarragonlift.components.data_path import server as data_path
 from tarragonlift.components import hosts
 from tarragonlift.components import logs
 from tarragonlift.components import measuring
--- a/tarragonlift/components/daemon/pages.py
+++ b/tarragonlift/components/daemon/pages.py
@@ -9,7 +9,7 @@
 
 from tarragonlift.components import cases
 from tarragonlift.components.data_path import caller
-from tarragonlift.components.data_path import server
+from tarragonlift.components.data_path import own_answers
 from tarragonlift import const
 from tarragonlift import exceptions
 from tarragonlift.helpers import schema
@@ -29,7 +29,7 @@
 )
 
 
-class Pages(server.OwnPages):
+class Pages(own_answers.OwnPages):
     """Tells whether the daemon lives and takes callers."""
 
     def __init__(self, is_ready: abc.Callable[[], bool]) -> None:
--- a/tarragonlift/components/data_path/server.py
+++ b/tarragonlift/components/data_path/server.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import abc
 import socket
 import time
 
@@ -15,6 +14,7 @@
 from tarragonlift.components.data_path import const
 from tarragonlift.components.data_path import exchange as exchange_module
 from tarragonlift.components.data_path import messages
+from tarragonlift.components.data_path import own_answers
 from tarragonlift.components.data_path import poller as poller_module
 from tarragonlift.components.data_path import stream
 from tarragonlift.components.metrics import recorder
@@ -33,18 +33,6 @@
 Exchange = exchange_module.Exchange
 
 
-class OwnPages(abc.ABC):
-    """Answers the paths that belong to tarragonlift itself."""
-
-    content_type = "application/json"
-
-    @abc.abstractmethod
-    def answer(
-        self, head: caller.RequestHead, body: bytes
-    ) -> tuple[int, bytes]:
-        """Return the status and a JSON body."""
-
-
 class DataPath(exchange_module.Host, caller.Acceptor, claims_module.Exchanges):
     """Accepts callers and joins them with backend servers."""
 
@@ -53,7 +41,7 @@
         poller: poller_module.DataPoller,
         balancer: balancer_module.Balancer,
         metrics: recorder.Recorder,
-        own_pages: OwnPages,
+        own_pages: own_answers.OwnPages,
     ) -> None:
         """Prepare; ``listen`` begins."""
         self._poller = poller
@@ -144,13 +132,13 @@
         now = time.monotonic()
         request_id = self._balancer.new_request_id()
         if head.target.startswith(OWN_PREFIX):
-            return OwnRequest(connection, head, self._own_pages)
+            return own_answers.OwnRequest(connection, head, self._own_pages)
         self._metrics.count("calls")
         try:
             call = self._balancer.open_call(_facts(head, request_id), now)
         except exceptions.Refusal as refusal:
             self._metrics.count(f"refused.{refusal.code}")
-            return Refused(connection, head, refusal, request_id)
+            return own_answers.Refused(connection, head, refusal, request_id)
         exchange = Exchange(self, connection, head, call)
         self._exchanges[call] = exchange
         self._poller.call_soon(lambda: exchange.start(now))
@@ -196,7 +184,7 @@
         self._balancer.servers.on_headers(
             attempt.backend,
             start_id.decode("latin-1") if start_id else "",
-            number(load),
+            _number(load),
             time.monotonic(),
         )
 
@@ -298,110 +286,13 @@
         self._balancer.servers.on_connections_closed(address, time.time())
 
 
-class Ignoring(caller.RequestListener):
-    """A request whose body has no use."""
-
-    def on_body(self, data: bytes) -> None:
-        """Drop it."""
-
-    def on_body_complete(self) -> None:
-        """Do nothing."""
-
-    def on_writable(self) -> None:
-        """Do nothing."""
-
-    def on_caller_gone(self) -> None:
-        """Do nothing."""
-
-    def on_body_refused(self, refusal: exceptions.Refusal) -> None:
-        """Do nothing: the answer was given."""
-
-
-class Refused(Ignoring):
-    """A request that is refused by its head alone."""
-
-    def __init__(
-        self,
-        connection: caller.CallerConnection,
-        head: caller.RequestHead,
-        refusal: exceptions.Refusal,
-        request_id: str,
-        extra: dict[str, object] | None = None,
-    ) -> None:
-        """Answer at once, or after a short body, with further fields."""
-        self._connection = connection
-        self._head = head
-        self._refusal = refusal
-        self._request_id = request_id
-        self._extra = extra
-        if head.has_body and (
-            head.chunked
-            or head.expects_continue
-            or head.content_length > const.DRAIN_BYTES_MOST
-        ):
-            self._answer(close=True)
-        elif not head.has_body:
-            self._answer(close=False)
-
-    def on_body_complete(self) -> None:
-        """Answer, now that the connection can be used again."""
-        self._answer(close=False)
-
-    def _answer(self, close: bool) -> None:
-        """Send the refusal."""
-        self._connection.write(
-            messages.refusal(
-                self._refusal,
-                self._request_id,
-                self._head.method == b"HEAD",
-                close,
-                self._extra,
-            )
-        )
-        self._connection.finish_answer(keep_alive=not close)
-
-
-class OwnRequest(Ignoring):
-    """A request for one of tarragonlift's own paths."""
-
-    def __init__(
-        self,
-        connection: caller.CallerConnection,
-        head: caller.RequestHead,
-        pages: OwnPages,
-    ) -> None:
-        """Wait for the body."""
-        self._connection = connection
-        self._head = head
-        self._pages = pages
-        self._body: list[bytes] = []
-        self._bytes = 0
-
-    def on_body(self, data: bytes) -> None:
-        """Keep a short body."""
-        self._bytes += len(data)
-        if self._bytes <= const.RECORD_BYTES_MOST:
-            self._body.append(data)
-
-    def on_body_complete(self) -> None:
-        """Answer."""
-        status, body = self._pages.answer(self._head, b"".join(self._body))
-        fields = {
-            "Content-Type": self._pages.content_type,
-            "Content-Length": len(body),
-        }
-        shown = b"" if self._head.method == b"HEAD" else body
-        self._connection.write(messages.plain(status, fields, shown))
-        self._connection.finish_answer(keep_alive=True)
-
-
 def _facts(
     head: caller.RequestHead, request_id: str
 ) -> balancer_module.RequestFacts:
     """Return what the core needs of the head."""
     target = head.target.decode("latin-1")
     method = head.method.decode("latin-1")
-    timeout = number(head.fields.get(DEADLINE))
+    timeout = _number(head.fields.get(DEADLINE))
     host = head.fields.get(b"host", b"").decode("latin-1").lower()
     return balancer_module.RequestFacts(
         request_id=request_id,
@@ -417,7 +308,7 @@
     )
 
 
-def number(value: bytes | None) -> float:
+def _number(value: bytes | None) -> float:
     """Return the number in a header field, 0 if there is none."""
     try:
         return float(value) if value else 0.0
@@ -425,5 +316,15 @@
         return 0.0
 
 
+def create_data_path(
+    poller: poller_module.DataPoller,
+    balancer: balancer_module.Balancer,
+    metrics: recorder.Recorder,
+    own_pages: own_answers.OwnPages,
+) -> DataPath:
+    """Return a data path that does not listen yet."""
+    return DataPath(poller, balancer, metrics, own_pages)
+
+
 def _nothing() -> None:
     """Do nothing."""
--- a/tarragonlift/components/gateway/gateway.py
+++ b/tarragonlift/components/gateway/gateway.py
@@ -9,8 +9,8 @@
 from tarragonlift.components.data_path import client
 from tarragonlift.components.data_path import connections
 from tarragonlift.components.data_path import messages
+from tarragonlift.components.data_path import own_answers
 from tarragonlift.components.data_path import poller as poller_module
-from tarragonlift.components.data_path import server as data_server
 from tarragonlift.components.data_path import stream
 from tarragonlift.components.gateway import const
 from tarragonlift.components.gateway import dialect as dialect_module
@@ -244,7 +244,7 @@
         fields = self.dialect.refusal_fields(
             request_id, refusals.come_back_s(refusal, left)
         )
-        return data_server.Refused(
+        return own_answers.Refused(
             connection, head, refusal, request_id, fields
         )
 
--- a/tarragonlift/components/gateway/pages.py
+++ b/tarragonlift/components/gateway/pages.py
@@ -9,8 +9,8 @@
 
 from tarragonlift.components.data_path import caller
 from tarragonlift.components.data_path import messages
+from tarragonlift.components.data_path import own_answers
 from tarragonlift.components.data_path import poller as poller_module
-from tarragonlift.components.data_path import server
 from tarragonlift.components.data_path import stream
 from tarragonlift.components.metrics import exposition
 from tarragonlift.components.metrics import recorder
@@ -22,7 +22,7 @@
 STATUS_UNAVAILABLE = 503
 
 
-class ReadyPage(server.OwnPages):
+class ReadyPage(own_answers.OwnPages):
     """Tells the platform's balancer whether callers may come."""
 
     def __init__(self, path: str, is_ready: abc.Callable[[], bool]) -> None:
@@ -41,7 +41,7 @@
         return status, orjson.dumps({"ready": ready})
 
 
-class MetricsPage(server.OwnPages):
+class MetricsPage(own_answers.OwnPages):
     """Shows the metrics as text."""
 
     content_type = "text/plain; version=0.0.4"
@@ -64,7 +64,7 @@
     """Serves one page."""
 
     def __init__(
-        self, poller: poller_module.DataPoller, page: server.OwnPages
+        self, poller: poller_module.DataPoller, page: own_answers.OwnPages
     ) -> None:
         """Prepare; ``listen`` begins."""
         self._poller = poller
@@ -97,7 +97,7 @@
         head: caller.RequestHead,
     ) -> caller.RequestListener:
         """Return who answers."""
-        return server.OwnRequest(connection, head, self._page)
+        return own_answers.OwnRequest(connection, head, self._page)
 
     def refuse(
         self,
