--- a/tarragonlift/components/gateway/daemon.py
+++ b/tarragonlift/components/gateway/daemon.py
@@ -43,7 +43,6 @@
     ready: models.Address
     peer: models.Address
     metrics: models.Address | None
-    seeds: tuple[models.Address, ...] = ()
     known_within_s: float = 2.0
     stop_within_s: float = 6.0
     extra_calls: fleet_module.ExtraCalls = fleet_module.ExtraCalls()
@@ -122,7 +121,8 @@
         signal.signal(signal.SIGINT, self._on_stop_signal)
         signal.signal(signal.SIGHUP, self._on_reload_signal)
         settings = self._settings
-        self._news.listen(settings.peer)
+        own_address = self._news.listen(settings.peer)
+        self._fleet.members.set_own_address(own_address)
         if self._follower is not None:
             self._follower.start()
             self._take_turns(time.monotonic())
--- a/tarragonlift/core/fleet/members.py
+++ b/tarragonlift/core/fleet/members.py
@@ -49,6 +49,11 @@
         own = self._own.daemon
         return [one for one in self._members.values() if one.daemon != own]
 
+    def set_own_address(self, address: models.Address) -> None:
+        """Take the address that the kernel gave."""
+        self._own = attrs.evolve(self._own, address=address)
+        self._members[self._own.daemon] = self._own
+
     def set_members(self, members: abc.Iterable[Member]) -> bool:
         """Follow the list of daemons; return whether it changed."""
         found = {one.daemon: one for one in members}
--- a/tarragonlift/core/fleet/models.py
+++ b/tarragonlift/core/fleet/models.py
@@ -25,8 +25,7 @@
     """Where requests for one host name and path prefix go, and how.
 
     ``timeout_s`` is the longest a request is kept waiting; ``aim_s`` is the
-    latency within which its answer is worth most. ``bulky`` marks requests
-    with long bodies.
+    latency within which its answer is worth most.
     """
 
     name: str
@@ -34,7 +33,6 @@
     prefix: str
     idempotent: bool
     targets: tuple[Target, ...]
-    bulky: bool = False
     timeout_s: float = math.inf
     aim_s: float = 1.0
     priority: int = 0
@@ -51,8 +49,6 @@
 
     name: str
     health_path: str = "/health"
-    connections_most: int = 64
-    warm_up_s: float = 0.0
     cold_rate: float = 1.0
 
 
--- a/tarragonlift/core/fleet/registry.py
+++ b/tarragonlift/core/fleet/registry.py
@@ -155,7 +155,6 @@
             return [Change(entry.server_id, kind, detail)]
         before = known.entry
         known.entry = entry
-        known.lapsed_at = math.inf
         if entry.address != before.address:
             known.misplaced = False
         if entry.leaving and not before.leaving:
@@ -173,7 +172,7 @@
         """Begin anew with a process that was not known."""
         if known is not None:
             known.gone = True
-        fresh = FleetServer(entry, now)
+        fresh = FleetServer(entry)
         fresh.set_cold_for(entry.cold_for_s, now)
         self._servers[entry.server_id] = fresh
 
@@ -181,7 +180,6 @@
         """Drop a server that is not listed, unless entries may lapse."""
         one = self._servers[server_id]
         if now < self._kept_until and not one.entry.leaving:
-            one.lapsed_at = min(one.lapsed_at, now)
             return []
         one.gone = True
         del self._servers[server_id]
--- a/tarragonlift/core/fleet/server.py
+++ b/tarragonlift/core/fleet/server.py
@@ -34,7 +34,6 @@
     """One backend server; times are of the monotonic clock."""
 
     entry: models.ListedServer
-    listed_at: float
     in_flight: dict[object, InFlight] = attrs.field(factory=dict)
     load: models.LoadReport | None = None
     reported_at: float = -math.inf
@@ -42,7 +41,6 @@
     cold_until: float = -math.inf
     cold_next_at: float = -math.inf
     avoid_until: float = -math.inf
-    lapsed_at: float = math.inf
     misplaced: bool = False
     gone: bool = False
     speed: latency.AgeingMean = attrs.field(factory=_speed)
--- a/tests/core/fleet/common.py
+++ b/tests/core/fleet/common.py
@@ -62,11 +62,7 @@
     return models.FleetConfiguration(
         version,
         routes or (route(), route(idempotent=False)),
-        {
-            "orders": models.FleetService(
-                "orders", warm_up_s=3.0, cold_rate=18.0
-            )
-        },
+        {"orders": models.FleetService("orders", cold_rate=18.0)},
     )
 
 
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -19,7 +19,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 SETTINGS = """\
-nodeName=entry-1
+nodeName={name}
 zone=here
 ip=127.0.0.1
 bind.front=127.0.0.1:0
@@ -323,7 +323,7 @@
         for server in self.servers:
             self.store_put("servers", server.server_id, server.entry())
         self.lines: list[dict[str, object]] = []
-        self.daemon = self._start_daemon()
+        self.daemon = self.start_daemon("entry-1")
         self.listen = ""
         self.ready = ""
 
@@ -386,10 +386,10 @@
         await server.start()
         return server
 
-    def _start_daemon(self) -> subprocess.Popen[bytes]:
-        """Start the daemon as the platform does."""
-        path = self._folder / "settings.conf"
-        path.write_text(SETTINGS.format(store=self.store.address))
+    def start_daemon(self, name: str) -> subprocess.Popen[bytes]:
+        """Start a daemon as the platform does."""
+        path = self._folder / f"{name}.conf"
+        path.write_text(SETTINGS.format(store=self.store.address, name=name))
         return subprocess.Popen(
             [sys.executable, str(ROOT / "platform" / "serve.py")],
             env={"TARRAGONLIFT_SETTINGS": str(path), "PATH": ""},
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -111,7 +111,6 @@
         assert [one.weight for one in routes["r-look"].targets] == [90, 10]
         assert not routes["r-order"].idempotent
         assert routes["r-order"].timeout_s == math.inf
-        assert routes["r-upload"].bulky
         assert not routes["r-upload"].idempotent
         assert found.services["svc"].cold_rate == 18.0
         assert found.limits.idle_timeout_s == 15.0
@@ -172,7 +171,7 @@
 
     def test_example_is_read(self) -> None:
         """Take addresses and bounds."""
-        text = standin.SETTINGS.format(store="10.0.0.9:80")
+        text = standin.SETTINGS.format(store="10.0.0.9:80", name="a")
         found = settings.parse_settings(text, "file")
         assert found.process.known_within_s == 2.0
         assert str(found.store) == "10.0.0.9:80"
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak of real processes with faults from outside."""
