Fewer store calls and connections: growing pauses, a subset of servers

Change: pauses after failures grow to a second, rows of daemons are written each minute, a daemon uses 8 near and 8 far servers for usual requests; others' news tells also which data centres are out. A daemon that has not read the daemons' rows sends nothing to a cold server. Ruled out: operators' words by datagram (larger than a packet when routes grow by hundreds).

--- a/tarragonlift/components/gateway/const.py
+++ b/tarragonlift/components/gateway/const.py
@@ -32,15 +32,18 @@
 REREAD_S = 0.3
 # Seconds until the next try after the store failed.
 RETRY_S = 0.25
+# Longest pause between two tries, in seconds: other daemons tell news
+# meanwhile, and after it an operator's word must be known within two.
+RETRY_MOST_S = 1.0
 # Longest wait of one call for changes of the configuration, seconds: the
 # longest that the platform allows less the way there.
 WAIT_S = 25.0
 # Seconds between two looks at the rows of the daemons, the first few early
 # because all daemons start together.
 MEMBERS_EARLY_S = (0.5, 3.0)
-MEMBERS_S = 30.0
+MEMBERS_S = 60.0
 # Seconds after which a daemon's row that was not written again is void.
-MEMBER_VOID_S = 120.0
+MEMBER_VOID_S = 240.0
 
 # Seconds after SIGTERM for which new requests are taken: the platform sends
 # new connections until two of its checks, one a second, have failed.
--- a/tarragonlift/components/gateway/follower.py
+++ b/tarragonlift/components/gateway/follower.py
@@ -28,18 +28,20 @@
 class Dependency:
     """Logs when the store is lost and regained, for one kind of reading."""
 
-    def __init__(self, name: str) -> None:
-        """Begin as not lost."""
+    def __init__(self, name: str, retry_most_s: float) -> None:
+        """Begin as not lost; pauses grow up to ``retry_most_s`` seconds."""
         self._name = name
         self._lost_at: float | None = None
+        self._retry_most_s = retry_most_s
+        self._retry_s = const.RETRY_S
 
     @property
     def lost(self) -> bool:
         """Return whether the last reading failed."""
         return self._lost_at is not None
 
-    def fail(self, error: Failure, now: float) -> None:
-        """Note a failed reading."""
+    def fail(self, error: Failure, now: float) -> float:
+        """Note a failed reading; return the pause before the next."""
         if self._lost_at is None:
             self._lost_at = now
             logs.log_belief(
@@ -48,6 +50,9 @@
                 lost=True,
                 error=type(error).__name__,
             )
+        pause = self._retry_s
+        self._retry_s = min(2.0 * pause, self._retry_most_s)
+        return pause
 
     def succeed(self, now: float) -> bool:
         """Note a reading; return whether it is the first after failures."""
@@ -55,6 +60,7 @@
             return False
         lost_s = round(now - self._lost_at, 3)
         self._lost_at = None
+        self._retry_s = const.RETRY_S
         logs.log_belief(
             "dependency", name=self._name, lost=False, after_s=lost_s
         )
@@ -86,9 +92,9 @@
         self._lapsed_until = -math.inf
         self._reread_at = -math.inf
         self._rng = rng
-        self._operators = Dependency("operators")
-        self._servers = Dependency("servers")
-        self._members = Dependency("members")
+        self._operators = Dependency("operators", const.RETRY_MOST_S)
+        self._servers = Dependency("servers", self._longest_s / 2)
+        self._members = Dependency("members", const.RETRY_MOST_S)
         self._stopped = False
         self.tell: abc.Callable[[list_view.ListNews], None] = _ignore
 
@@ -116,7 +122,7 @@
     def take_list_news(self, news: list_view.ListNews) -> None:
         """Take another daemon's reading of the list."""
         now = self._loop.now()
-        if news.configuration > self._fleet.version:
+        if not self._fleet.agrees(news.configuration, news.out):
             self._reread_operators(now)
         if news.store_version < self._fleet.registry.version:
             return
@@ -151,8 +157,8 @@
         """Take what operators wrote."""
         now = self._loop.now()
         if isinstance(news, Failure):
-            self._operators.fail(news, now)
-            when = now + const.RETRY_S * (0.5 + self._rng.random())
+            pause = self._operators.fail(news, now)
+            when = now + pause * (0.5 + self._rng.random())
             # A whole reading: changes may have been missed or forgotten.
             self._loop.call_at(when, self._read_operators)
             return
@@ -193,8 +199,8 @@
         now = self._loop.now()
         self._reading = False
         if isinstance(found, Failure):
-            self._servers.fail(found, now)
-            self._retry_at = now + const.RETRY_S * (0.5 + self._rng.random())
+            pause = self._servers.fail(found, now)
+            self._retry_at = now + pause * (0.5 + self._rng.random())
             return
         if self._servers.succeed(now):
             self._keep_lapsed(now, fleet_const.LAPSED_KEPT_S)
@@ -212,6 +218,7 @@
                 changes,
                 max(0.0, self._lapsed_until - now),
                 self._fleet.version,
+                tuple(sorted(self._fleet.registry.out)),
             )
         )
 
@@ -260,8 +267,8 @@
         """Take the rows of all daemons."""
         now = self._loop.now()
         if isinstance(rows, Failure):
-            self._members.fail(rows, now)
-            self._loop.call_at(now + 1.0, self._read_members)
+            pause = self._members.fail(rows, now)
+            self._loop.call_at(now + pause, self._read_members)
             return
         self._members.succeed(now)
         wall_time = self._loop.wall_time()
--- a/tarragonlift/components/gateway/news.py
+++ b/tarragonlift/components/gateway/news.py
@@ -113,6 +113,7 @@
         [_encode_change(change) for change in message.changes],
         message.lapsed_for_s,
         message.configuration,
+        list(message.out),
     ]
 
 
@@ -124,7 +125,8 @@
             (fingerprint,) = rest
             return CrashNews(str(fingerprint))
         if kind == TYPE_LIST:
-            daemon, version, digest, changes, lapsed_for_s, adopted = rest
+            daemon, version, digest, changes, lapsed_for_s, *known = rest
+            adopted, out = known
             return list_view.ListNews(
                 str(daemon),
                 int(version),
@@ -132,6 +134,7 @@
                 tuple(_decode_change(change) for change in changes),
                 float(lapsed_for_s),
                 int(adopted),
+                tuple(str(name) for name in out),
             )
     except (TypeError, ValueError) as error:
         raise exceptions.PeerError(str(error)) from error
--- a/tarragonlift/core/fleet/chooser.py
+++ b/tarragonlift/core/fleet/chooser.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 from collections import abc
+import heapq
 import random
 
 import attrs
 
 from tarragonlift.core.fleet import const
+from tarragonlift.core.fleet import members
 from tarragonlift.core.fleet import models
 from tarragonlift.core.fleet import registry as registry_module
 from tarragonlift.core.fleet import server as server_module
@@ -66,13 +68,14 @@
     def __init__(
         self,
         registry: registry_module.Registry,
-        data_centre: str,
+        own: members.Member,
         crossing_loss_per_kib: float,
         rng: random.Random,
     ) -> None:
-        """Prefer this data centre."""
+        """Choose for this daemon; prefer its data centre."""
         self._registry = registry
-        self._data_centre = data_centre
+        self._daemon = own.daemon
+        self._data_centre = own.data_centre
         self._crossing_loss = crossing_loss_per_kib
         self._rng = rng
         self.service_times = ServiceTimes()
@@ -83,15 +86,18 @@
         body_bytes: int,
         tried: abc.Container[str],
         rounds: int,
+        wide: bool,
         now: float,
     ) -> Choice | Ask | None:
         """Return a server, servers to ask first, or None without room.
 
+        ``wide`` looks at all servers, for a request that was sent before or
+        waits for room.
         ``rounds`` counts the rounds of probes that this request has made.
         """
         usable = [
             one
-            for one in self._registry.usable(request.service)
+            for one in self._within_reach(request.service, wide)
             if one.server_id not in tried and self._registry.may_send(one, now)
         ]
         if not usable:
@@ -117,6 +123,29 @@
             return 1.0
         return 1.0 / (1.0 + (left_s / expected_s) ** const.LATE_SLOPE)
 
+    def _within_reach(self, service: str, wide: bool) -> list[FleetServer]:
+        """Return the servers to weigh.
+
+        Of a large fleet those that this daemon keeps connections to, all of
+        them where ``wide``.
+        """
+        usable = self._registry.usable(service)
+        if wide:
+            return usable
+        own = self._data_centre
+        near = [one for one in usable if one.entry.data_centre == own]
+        far = [one for one in usable if one.entry.data_centre != own]
+        return self._subset(near) + self._subset(far)
+
+    def _subset(self, servers: list[FleetServer]) -> list[FleetServer]:
+        """Return the servers of this daemon, by rendezvous."""
+        if len(servers) <= const.SUBSET_SERVERS:
+            return servers
+        daemon = self._daemon
+        return heapq.nsmallest(
+            const.SUBSET_SERVERS, servers, key=lambda one: one.place(daemon)
+        )
+
     def _good_loss(self, request: models.RoutedRequest) -> float:
         """Return the loss at which asking further servers gains nothing."""
         usual = self.service_times.get(request.route) / request.route.aim_s
--- a/tarragonlift/core/fleet/const.py
+++ b/tarragonlift/core/fleet/const.py
@@ -8,6 +8,10 @@
 
 # Servers asked at once: three of which one in four is slow leave 1 in 64.
 PROBES_AT_ONCE = 3
+# Servers of the own data centre, and as many of the others, that one daemon
+# uses for usual requests: enough that several are fast, few enough that a
+# connection to each is used before it is idle for long.
+SUBSET_SERVERS = 8
 # Rounds of probes before the best known server is taken.
 PROBE_ROUNDS_MOST = 2
 # Share of the target latency for which a request may wait for room.
--- a/tarragonlift/core/fleet/delivery.py
+++ b/tarragonlift/core/fleet/delivery.py
@@ -89,6 +89,7 @@
         self._sent = 0
         self._may_have_run = 0
         self._rounds = 0
+        self._held = False
         self._seeking_since = 0.0
         self._hedging = False
         self._hedge_at = math.inf
@@ -154,6 +155,7 @@
         if self._phase is not Phase.CHOOSING:
             return []
         self._rounds = 0
+        self._held = True
         return self._seek(now)
 
     def on_answer(
@@ -261,7 +263,12 @@
     ) -> chooser_module.Choice | chooser_module.Ask | None:
         """Return the next server, or whom to ask."""
         return self._context.chooser.choose(
-            self._request, self.body_bytes, self._tried, self._rounds, now
+            self._request,
+            self.body_bytes,
+            self._tried,
+            self._rounds,
+            self._held or self._sent > 0,
+            now,
         )
 
     def _wait_for_room(self, now: float) -> Actions:
--- a/tarragonlift/core/fleet/fleet.py
+++ b/tarragonlift/core/fleet/fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import abc
 import random
 
 import attrs
@@ -67,9 +68,7 @@
         self._budgets: dict[str, budget.ExtraCallBudget] = {}
         self._context = delivery.Context(
             self.registry,
-            chooser.Chooser(
-                self.registry, own.data_centre, crossing_loss_per_kib, rng
-            ),
+            chooser.Chooser(self.registry, own, crossing_loss_per_kib, rng),
             self.crash_book,
             self._budgets,
         )
@@ -131,6 +130,15 @@
                 out.discard(name)
         return adopted, self.registry.set_out(out)
 
+    def agrees(self, configuration: int, out: abc.Iterable[str]) -> bool:
+        """Return whether a daemon that told this knows no more of operators.
+
+        An older configuration there is no reason to read again.
+        """
+        if configuration > self.version:
+            return False
+        return frozenset(out) == self.registry.out
+
     def set_members(
         self, rows: list[doors.MemberRow], wall_time: float, void_s: float
     ) -> bool:
--- a/tarragonlift/core/fleet/list_view.py
+++ b/tarragonlift/core/fleet/list_view.py
@@ -29,7 +29,8 @@
     """What a daemon tells of its reading.
 
     ``lapsed_for_s``: for so many seconds missing entries are to be kept,
-    since the list was away. ``configuration`` is the version in force there.
+    since the list was away. ``configuration`` and ``out`` are the version and
+    the data centres out of service that the daemon knows.
     """
 
     daemon: str
@@ -38,6 +39,7 @@
     changes: tuple[ListChange, ...]
     lapsed_for_s: float
     configuration: int
+    out: tuple[str, ...]
 
 
 class ListView:
--- a/tarragonlift/core/fleet/members.py
+++ b/tarragonlift/core/fleet/members.py
@@ -28,6 +28,8 @@
         self._own = own
         self._members: dict[str, Member] = {own.daemon: own}
         self._owners: dict[tuple[str, str], tuple[str, ...]] = {}
+        # The daemons' rows were read at least once.
+        self.known = False
 
     def __len__(self) -> int:
         """Return how many daemons are known."""
@@ -56,6 +58,7 @@
 
     def set_members(self, members: abc.Iterable[Member]) -> bool:
         """Follow the list of daemons; return whether it changed."""
+        self.known = True
         found = {one.daemon: one for one in members}
         found[self._own.daemon] = self._own
         if found == self._members:
--- a/tarragonlift/core/fleet/registry.py
+++ b/tarragonlift/core/fleet/registry.py
@@ -113,7 +113,8 @@
         """Return whether a request may go to the server at this moment.
 
         A cold server gets work from its owners alone, each at an equal part
-        of the rate it bears, evenly spaced.
+        of the rate it bears, evenly spaced; from nobody who does not know
+        the other daemons yet.
         """
         if one.entry.leaving or one.gone or one.misplaced:
             return False
@@ -121,6 +122,8 @@
             return False
         if not one.is_cold(now):
             return True
+        if not self._members.known:
+            return False
         owners = self._owners(one)
         return self._members.own.daemon in owners and now >= one.cold_next_at
 
--- a/tarragonlift/core/fleet/server.py
+++ b/tarragonlift/core/fleet/server.py
@@ -5,6 +5,7 @@
 import math
 
 import attrs
+import xxhash
 
 from tarragonlift.core.fleet import const
 from tarragonlift.core.fleet import models
@@ -45,6 +46,7 @@
     gone: bool = False
     speed: latency.AgeingMean = attrs.field(factory=_speed)
     failures: latency.AgeingMean = attrs.field(factory=_failures)
+    _place: int | None = None
 
     @property
     def server_id(self) -> str:
@@ -56,6 +58,13 @@
         """Return how many requests it runs at once."""
         return max(1, self.load.slots if self.load else self.entry.slots)
 
+    def place(self, daemon: str) -> int:
+        """Return the server's place in the order of this daemon."""
+        if self._place is None:
+            text = f"{daemon} {self.server_id}"
+            self._place = xxhash.xxh64_intdigest(text)
+        return self._place
+
     @property
     def has_free_slot(self) -> bool:
         """Return whether a request would begin to run at once."""
--- a/tests/components/gateway/test_news.py
+++ b/tests/components/gateway/test_news.py
@@ -28,6 +28,7 @@
                 ),
                 1.5,
                 4,
+                ("here",),
             ),
         ],
     )
--- a/tests/core/fleet/test_chooser.py
+++ b/tests/core/fleet/test_chooser.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from tarragonlift.core import actions
+from tarragonlift.core.fleet import const
 from tarragonlift.core.fleet import delivery as delivery_module
 from tests.core.fleet import common
 
@@ -58,6 +60,50 @@
         assert names == ["a", "a", "b", "b"]
 
 
+class TestSubset:
+    """A daemon uses a part of a large fleet."""
+
+    def test_usual_requests_ask_few_servers(self) -> None:
+        """Ask the same servers again and again."""
+        names = [f"s-{number}" for number in range(60)]
+        made = common.fleet(*(common.entry(name) for name in names))
+        asked = set()
+        for _ in range(50):
+            wanted = common.open_delivery(made).start(NOW)
+            (probe,) = common.of_type(wanted, delivery_module.Probe)
+            assert isinstance(probe, delivery_module.Probe)
+            asked.update(one.server_id for one in probe.servers)
+        assert len(asked) <= const.SUBSET_SERVERS
+
+    def test_daemons_use_different_servers(self) -> None:
+        """Leave no server without any daemon."""
+        names = [f"s-{number}" for number in range(20)]
+        entries = [common.entry(name) for name in names]
+        used = set()
+        for number in range(19):
+            made = common.fleet(*entries, name=f"daemon-{number}")
+            for _ in range(20):
+                wanted = common.open_delivery(made).start(NOW)
+                (probe,) = common.of_type(wanted, delivery_module.Probe)
+                assert isinstance(probe, delivery_module.Probe)
+                used.update(one.server_id for one in probe.servers)
+        assert used == set(names)
+
+    def test_waiting_request_looks_at_all(self) -> None:
+        """Find the only free server of a large fleet."""
+        names = [f"s-{number}" for number in range(60)]
+        made = common.fleet(*(common.entry(name) for name in names))
+        for name in names:
+            common.report(made, name, 6, now=NOW + 0.03, waiting=20)
+        common.report(made, "s-7", now=NOW + 0.03)
+        common.report(made, "s-31", now=NOW + 0.03)
+        delivery = common.open_delivery(made, now=NOW + 0.03)
+        wanted = delivery.start(NOW + 0.03)
+        if not common.of_type(wanted, actions.Send):
+            wanted = delivery.on_pause_over(NOW + 0.03)
+        assert common.sent(wanted).backend.server_id in ("s-7", "s-31")
+
+
 class TestSplit:
     """Shares of a route's services."""
 
--- a/tests/core/fleet/test_list_view.py
+++ b/tests/core/fleet/test_list_view.py
@@ -14,7 +14,7 @@
     view: list_view.ListView, changes: tuple[list_view.ListChange, ...]
 ) -> list_view.ListNews:
     """Return what a daemon with this view tells."""
-    return list_view.ListNews("d", 1, view.digest, changes, 0.0, 1)
+    return list_view.ListNews("d", 1, view.digest, changes, 0.0, 1, ())
 
 
 class TestListView:
--- a/tests/core/fleet/test_registry.py
+++ b/tests/core/fleet/test_registry.py
@@ -86,6 +86,20 @@
         assert made.registry.usable("orders") == []
 
 
+class TestAgreement:
+    """What other daemons tell of operators."""
+
+    def test_newer_version_elsewhere_is_noticed(self) -> None:
+        """Read again where another daemon knows a newer version."""
+        made = common.fleet()
+        assert made.agrees(1, ())
+        assert not made.agrees(2, ())
+
+    def test_other_data_centres_out_are_noticed(self) -> None:
+        """Read again where another daemon knows other places out."""
+        assert not common.fleet().agrees(1, (common.HERE,))
+
+
 class TestConfiguration:
     """The version in force only grows."""
 
@@ -122,6 +136,13 @@
         )
         assert 0 < most <= 18
 
+    def test_daemon_that_knows_no_other_sends_nothing(self) -> None:
+        """Wait for the rows of the daemons before sharing the rate."""
+        made = common.fleet(common.entry("a", cold_for_s=3.0))
+        server = made.registry.get("a")
+        assert server is not None
+        assert not made.registry.may_send(server, NOW + 0.1)
+
     def test_warm_server_is_free_to_all(self) -> None:
         """Spread over all daemons once a server is warm."""
         made = common.fleet(common.entry("a", cold_for_s=3.0))
