Answer a refused request once and keep the caller's connection

Change: refusals wait for the request's end; while a connection lingers nothing more is answered. Tests: two on sockets, the first failed before.

--- a/tarragonlift/components/data_path/caller.py
+++ b/tarragonlift/components/data_path/caller.py
@@ -126,6 +126,7 @@
         self._head_bytes = 0
         self._refusal: exceptions.Refusal | None = None
         self._close_after = False
+        self._lingering = False
         self._head_since = 0.0
 
     @property
@@ -200,7 +201,7 @@
     def on_data(self, data: bytes) -> None:
         """Read a part of a request."""
         self.active_at = time.monotonic()
-        if self._refusal is not None:
+        if self._refusal is not None or self._lingering:
             return
         if self._in_head or self._listener is None:
             if not self._in_head:
@@ -215,7 +216,7 @@
             self._refusal = self._refusal or _bad_request()
         if self._in_head and self._head_bytes > self.limits.head_bytes:
             self._refusal = exceptions.HeadTooLarge(_NOT_RUN)
-        if self._refusal is not None:
+        if self._refusal is not None and not self._lingering:
             self._refuse(self._refusal)
 
     def on_end(self) -> None:
@@ -359,7 +360,7 @@
             if self._closed:
                 self._acceptor.on_closed(self)
             return
-        self._refusal = self._refusal or _bad_request()
+        self._lingering = True
         self._flush()
         if self._closed:
             return
--- a/tarragonlift/components/data_path/own_answers.py
+++ b/tarragonlift/components/data_path/own_answers.py
@@ -52,7 +52,10 @@
         request_id: str,
         extra: dict[str, object] | None = None,
     ) -> None:
-        """Answer at once, or after a short body, with further fields."""
+        """Answer a long body at once, else at the request's end.
+
+        ``extra`` are further fields of the answer.
+        """
         self._connection = connection
         self._head = head
         self._refusal = refusal
@@ -64,8 +67,6 @@
             or head.content_length > const.DRAIN_BYTES_MOST
         ):
             self._answer(close=True)
-        elif not head.has_body:
-            self._answer(close=False)
 
     def on_body_complete(self) -> None:
         """Answer, now that the connection can be used again."""
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -237,6 +237,33 @@
         assert standin.status_of(ask(site, "/none/1", "r-1")) == 404
 
 
+class TestKeptConnections:
+    """A refusal leaves the caller's connection as it was."""
+
+    def test_unknown_path_keeps_the_connection(
+        self, site: standin.Site
+    ) -> None:
+        """Answer once, and serve the next request on the connection."""
+        with connect(site.listen) as sock:
+            sock.sendall(request("/none/1", "r-1"))
+            assert standin.status_of(read_answer(sock)) == 404
+            sock.sendall(request("/look/1", "r-2"))
+            assert standin.status_of(read_answer(sock)) == 200
+
+    def test_long_body_gets_one_answer(self, site: standin.Site) -> None:
+        """Answer nothing to the rest of a body that was refused."""
+        with connect(site.listen) as sock:
+            sock.sendall(
+                b"POST /upload/1 HTTP/1.1\r\nHost: shop.example\r\n"
+                b"X-Request-Id: r-1\r\nContent-Length: 9000000\r\n\r\n"
+            )
+            received = read_answer(sock)
+            sock.sendall(b"x" * 1000)
+            while data := sock.recv(65536):
+                received += data
+        assert received.count(b"HTTP/1.1 ") == 1
+
+
 class TestStore:
     """What the daemon follows."""
 
