--- a/tarragonlift/core/fleet/const.py
+++ b/tarragonlift/core/fleet/const.py
@@ -13,7 +13,10 @@
 # connection to each is used before it is idle for long.
 SUBSET_SERVERS = 8
 # Rounds of probes before the best known server is taken.
-PROBE_ROUNDS_MOST = 2
+PROBE_ROUNDS_MOST = 3
+# Difference of expected loss below which chance decides whom to ask, so that
+# the servers of a service get equal shares.
+ASK_SPREAD = 0.1
 # Share of the target latency for which a request may wait for room.
 HOLD_SHARE = 0.125
 # A caller with this much less time than others of its route has sent before;
