--- a/tarragonlift/components/data_path/client.py
+++ b/tarragonlift/components/data_path/client.py
@@ -11,6 +11,7 @@
 
 from tarragonlift.components.data_path import poller as poller_module
 from tarragonlift.components.data_path import stream
+from tarragonlift.core import const as core_const
 from tarragonlift.core import models
 
 STATUS_CONTINUE = 100
@@ -237,6 +238,23 @@
         listener.on_complete()
 
 
+def classify_failure(
+    sent: bool, has_head: bool, bad: bool
+) -> core_const.AttemptFailure:
+    """Return why an attempt failed whose connection ended first.
+
+    ``sent``: bytes had been written; ``has_head``: the answer had begun;
+    ``bad``: what came was no valid answer.
+    """
+    if not sent:
+        return core_const.AttemptFailure.CONNECT_FAILED
+    if has_head:
+        return core_const.AttemptFailure.BROKEN_IN_ANSWER
+    if bad:
+        return core_const.AttemptFailure.BAD_ANSWER
+    return core_const.AttemptFailure.BROKEN_BEFORE_ANSWER
+
+
 def _ignore(connection: ClientConnection) -> None:
     """Do nothing."""
 
--- a/tarragonlift/components/data_path/exchange.py
+++ b/tarragonlift/components/data_path/exchange.py
@@ -109,13 +109,8 @@
         if self.refused is not None:
             self._exchange.on_run_failed(self, self.refused)
             return
-        failure = Failure.BROKEN_BEFORE_ANSWER
-        if not sent:
-            failure = Failure.CONNECT_FAILED
-        elif self.head is not None:
-            failure = Failure.BROKEN_IN_ANSWER
-        elif bad:
-            failure = Failure.BAD_ANSWER
+        has_head = self.head is not None
+        failure = client.classify_failure(sent, has_head, bad)
         self._exchange.on_run_failed(self, failure)
 
     def on_writable(self) -> None:
--- a/tarragonlift/components/gateway/exchange.py
+++ b/tarragonlift/components/gateway/exchange.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import abc
 import time
 
 import xxhash
@@ -10,9 +9,10 @@
 from tarragonlift.components.data_path import caller
 from tarragonlift.components.data_path import client
 from tarragonlift.components.data_path import messages
+from tarragonlift.components.gateway import attempt_run
 from tarragonlift.components.gateway import const
-from tarragonlift.components.gateway import dialect as dialect_module
 from tarragonlift.components.gateway import heads
+from tarragonlift.components.gateway import host as host_module
 from tarragonlift.core import actions
 from tarragonlift.core import const as core_const
 from tarragonlift.core.fleet import delivery as delivery_module
@@ -23,103 +23,12 @@
 _NOT_RUN = core_const.Outcome.NOT_RUN
 
 
-class Host(abc.ABC):
-    """What an exchange needs of the gateway."""
-
-    dialect: dialect_module.Dialect
-
-    @property
-    @abc.abstractmethod
-    def stopping(self) -> bool:
-        """Return whether callers are asked to go elsewhere."""
-
-    @abc.abstractmethod
-    def connect(
-        self, attempt: actions.Attempt
-    ) -> client.ClientConnection | None:
-        """Return a connection to the attempt's server."""
-
-    @abc.abstractmethod
-    def give_back(self, connection: client.ClientConnection) -> None:
-        """Keep or close a connection whose answer was whole."""
-
-    @abc.abstractmethod
-    def carry_out(self, exchange: Exchange, action: actions.Action) -> None:
-        """Do what concerns more than this exchange."""
-
-    @abc.abstractmethod
-    def note(self, exchange: Exchange, decision: str, **facts: object) -> None:
-        """Log a decision about the request."""
-
-    @abc.abstractmethod
-    def refusal_fields(
-        self, exchange: Exchange, refusal: exceptions.Refusal
-    ) -> dict[str, object]:
-        """Return the fields of an answer made by tarragonlift itself."""
-
-    @abc.abstractmethod
-    def on_done(self, exchange: Exchange) -> None:
-        """Forget the exchange."""
-
-
-class AttemptRun(client.AnswerListener):
-    """One attempt on its connection."""
-
-    def __init__(
-        self,
-        exchange: Exchange,
-        attempt: actions.Attempt,
-        connection: client.ClientConnection,
-    ) -> None:
-        """Run the attempt on the connection."""
-        self.attempt = attempt
-        self.connection = connection
-        self.head: client.AnswerHead | None = None
-        self.body: list[bytes] = []
-        self.body_bytes = 0
-        self.body_sent = False
-        self.streaming = False
-        self._exchange = exchange
-
-    def wants(self, head: client.AnswerHead) -> bool:
-        """Pass over answers that belong to other requests."""
-        return self._exchange.belongs(head)
-
-    def on_head(self, head: client.AnswerHead) -> None:
-        """Take the head of the answer."""
-        self.head = head
-
-    def on_body(self, data: bytes) -> None:
-        """Take a part of the body."""
-        self.body_bytes += len(data)
-        self._exchange.on_answer_body(self, data)
-
-    def on_complete(self) -> None:
-        """The answer is whole."""
-        self._exchange.on_answer_complete(self)
-
-    def on_failed(self, sent: bool, bad: bool) -> None:
-        """The connection ended first."""
-        failure = Failure.BROKEN_BEFORE_ANSWER
-        if not sent:
-            failure = Failure.CONNECT_FAILED
-        elif self.head is not None:
-            failure = Failure.BROKEN_IN_ANSWER
-        elif bad:
-            failure = Failure.BAD_ANSWER
-        self._exchange.on_run_failed(self, failure)
-
-    def on_writable(self) -> None:
-        """The server takes more of the body."""
-        self._exchange.on_server_writable()
-
-
-class Exchange(caller.RequestListener):
+class Exchange(caller.RequestListener, attempt_run.Owner):
     """Moves bytes between a caller and the servers of one request."""
 
     def __init__(
         self,
-        host: Host,
+        host: host_module.Host,
         connection: caller.CallerConnection,
         head: caller.RequestHead,
         delivery: delivery_module.Delivery,
@@ -131,8 +40,8 @@
         self._delivery = delivery
         self._prefix = heads.request_prefix(head, host.dialect.own_fields)
         self._is_head = head.method == b"HEAD"
-        self._runs: dict[actions.Attempt, AttemptRun] = {}
-        self._answers: dict[actions.Attempt, AttemptRun] = {}
+        self._runs: dict[actions.Attempt, attempt_run.AttemptRun] = {}
+        self._answers: dict[actions.Attempt, attempt_run.AttemptRun] = {}
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._body_complete = False
@@ -241,7 +150,7 @@
         else:
             self.run(self._delivery.on_body_broken())
 
-    def on_answer_body(self, run: AttemptRun, data: bytes) -> None:
+    def on_answer_body(self, run: attempt_run.AttemptRun, data: bytes) -> None:
         """Take a part of an answer's body."""
         if run.streaming:
             self._stream_answer(run, data)
@@ -250,7 +159,7 @@
         if run.body_bytes > const.ANSWER_KEPT_BYTES:
             self._begin_streaming(run)
 
-    def on_answer_complete(self, run: AttemptRun) -> None:
+    def on_answer_complete(self, run: attempt_run.AttemptRun) -> None:
         """Take the end of an answer."""
         self._runs.pop(run.attempt, None)
         self._release(run)
@@ -261,7 +170,9 @@
         self._answers[run.attempt] = run
         self._on_verdict(run, self._host.dialect.verdict(run.head))
 
-    def on_run_failed(self, run: AttemptRun, failure: Failure) -> None:
+    def on_run_failed(
+        self, run: attempt_run.AttemptRun, failure: Failure
+    ) -> None:
         """The connection of an attempt ended before its answer."""
         if self._runs.pop(run.attempt, None) is None:
             return
@@ -305,7 +216,9 @@
         elif self._connection is not None:
             self._connection.pause_reading()
 
-    def _on_verdict(self, run: AttemptRun, verdict: Verdict) -> None:
+    def _on_verdict(
+        self, run: attempt_run.AttemptRun, verdict: Verdict
+    ) -> None:
         """Let the core decide what follows an answer."""
         now = time.monotonic()
         head = run.head
@@ -333,7 +246,7 @@
             failure = Failure.CONNECT_FAILED
             self.run(self._delivery.on_failed(attempt, failure, now))
             return
-        run = AttemptRun(self, attempt, connection)
+        run = attempt_run.AttemptRun(self, attempt, connection)
         self._runs[attempt] = run
         request = self._delivery.request
         length = self._body_bytes if self._body_complete else None
@@ -354,13 +267,13 @@
             self._body = []
             self._connection.resume_reading()
 
-    def _send_body(self, run: AttemptRun, data: bytes) -> None:
+    def _send_body(self, run: attempt_run.AttemptRun, data: bytes) -> None:
         """Send a part of the body on."""
         run.connection.write(self._framed(data))
         if run.connection.congested and self._connection is not None:
             self._connection.pause_reading()
 
-    def _end_body(self, run: AttemptRun) -> None:
+    def _end_body(self, run: attempt_run.AttemptRun) -> None:
         """Send the end of the body."""
         if not run.body_sent and self._head.chunked:
             run.connection.write(messages.LAST_CHUNK)
@@ -372,7 +285,7 @@
             return messages.chunk(data)
         return data
 
-    def _release(self, run: AttemptRun) -> None:
+    def _release(self, run: attempt_run.AttemptRun) -> None:
         """Keep the connection where nothing of the request is left."""
         run.connection.resume_reading()
         if run.body_sent:
@@ -392,7 +305,9 @@
         connection.write(body)
         self._finish()
 
-    def _write_head(self, run: AttemptRun, length: int | None) -> None:
+    def _write_head(
+        self, run: attempt_run.AttemptRun, length: int | None
+    ) -> None:
         """Write the head of a server's answer."""
         connection = self._connection
         assert connection is not None  # noqa: S101 - checked by callers
@@ -405,7 +320,7 @@
             heads.answer_head(run.head, length, self._is_head, close)
         )
 
-    def _begin_streaming(self, run: AttemptRun) -> None:
+    def _begin_streaming(self, run: attempt_run.AttemptRun) -> None:
         """Pass a long answer on while it comes."""
         assert run.head is not None  # noqa: S101 - a body follows a head
         verdict = self._host.dialect.verdict(run.head)
@@ -421,7 +336,7 @@
         data, run.body = b"".join(run.body), []
         self._stream_answer(run, data)
 
-    def _stream_answer(self, run: AttemptRun, data: bytes) -> None:
+    def _stream_answer(self, run: attempt_run.AttemptRun, data: bytes) -> None:
         """Write a part of a long answer."""
         connection = self._connection
         if connection is None or run.head is None:
@@ -431,7 +346,7 @@
         if connection.congested:
             run.connection.pause_reading()
 
-    def _end_streaming(self, run: AttemptRun) -> None:
+    def _end_streaming(self, run: attempt_run.AttemptRun) -> None:
         """Write the end of a long answer."""
         connection = self._connection
         if connection is not None and run.head is not None:
@@ -467,7 +382,7 @@
         )
         self._finish()
 
-    def _note_answered(self, run: AttemptRun) -> None:
+    def _note_answered(self, run: attempt_run.AttemptRun) -> None:
         """Log the answer that the caller gets."""
         now = time.monotonic()
         received_at = self._delivery.request.received_at
--- a/tarragonlift/components/gateway/gateway.py
+++ b/tarragonlift/components/gateway/gateway.py
@@ -15,6 +15,7 @@
 from tarragonlift.components.gateway import const
 from tarragonlift.components.gateway import dialect as dialect_module
 from tarragonlift.components.gateway import exchange as exchange_module
+from tarragonlift.components.gateway import host as host_module
 from tarragonlift.components.gateway import prober as prober_module
 from tarragonlift.components import logs
 from tarragonlift.components.metrics import recorder
@@ -29,7 +30,7 @@
 Exchange = exchange_module.Exchange
 
 
-class Gateway(exchange_module.Host, caller.Acceptor):
+class Gateway(host_module.Host, caller.Acceptor):
     """Takes requests, one exchange each."""
 
     def __init__(
--- /dev/null
+++ b/tarragonlift/components/gateway/host.py
@@ -0,0 +1,60 @@
+"""What the exchange of a request needs of the gateway."""
+
+from __future__ import annotations
+
+import abc
+from typing import TYPE_CHECKING
+
+from tarragonlift.components.data_path import client
+from tarragonlift.components.gateway import dialect as dialect_module
+from tarragonlift.core import actions
+from tarragonlift import exceptions
+
+if TYPE_CHECKING:
+    from tarragonlift.components.gateway import exchange as exchange_module
+
+
+class Host(abc.ABC):
+    """What an exchange needs of the gateway."""
+
+    dialect: dialect_module.Dialect
+
+    @property
+    @abc.abstractmethod
+    def stopping(self) -> bool:
+        """Return whether callers are asked to go elsewhere."""
+
+    @abc.abstractmethod
+    def connect(
+        self, attempt: actions.Attempt
+    ) -> client.ClientConnection | None:
+        """Return a connection to the attempt's server."""
+
+    @abc.abstractmethod
+    def give_back(self, connection: client.ClientConnection) -> None:
+        """Keep or close a connection whose answer was whole."""
+
+    @abc.abstractmethod
+    def carry_out(
+        self, exchange: exchange_module.Exchange, action: actions.Action
+    ) -> None:
+        """Do what concerns more than this exchange."""
+
+    @abc.abstractmethod
+    def note(
+        self,
+        exchange: exchange_module.Exchange,
+        decision: str,
+        **facts: object,
+    ) -> None:
+        """Log a decision about the request."""
+
+    @abc.abstractmethod
+    def refusal_fields(
+        self, exchange: exchange_module.Exchange, refusal: exceptions.Refusal
+    ) -> dict[str, object]:
+        """Return the fields of an answer made by tarragonlift itself."""
+
+    @abc.abstractmethod
+    def on_done(self, exchange: exchange_module.Exchange) -> None:
+        """Forget the exchange."""
