Learn from servers that did not answer in time

Cause: a server that hangs while its health is good kept its speed, since an attempt given up for a hedge or at the end of its time taught nothing. Change: such attempts count as observed latency. Test: failed before.

--- a/tarragonlift/core/fleet/delivery.py
+++ b/tarragonlift/core/fleet/delivery.py
@@ -145,7 +145,7 @@
         if self._phase is Phase.DONE:
             return []
         if now >= self._request.final_at:
-            return self._expire()
+            return self._expire(now)
         if self._phase is Phase.SENT and now >= self._hedge_at:
             return self._begin_hedge(now)
         return []
@@ -171,6 +171,7 @@
         if self._phase is Phase.DONE:
             return []
         if verdict is Verdict.SUCCESS:
+            self._learn_unanswered(now)
             return self._relay(attempt)
         if verdict is Verdict.NOT_RUN:
             server.avoid_until = now + const.AVOID_S
@@ -397,8 +398,9 @@
             return self._seek(now)
         return self._refuse(exceptions.BackendFailed(Outcome.UNKNOWN))
 
-    def _expire(self) -> Actions:
+    def _expire(self, now: float) -> Actions:
         """Give the final answer: the time is over."""
+        self._learn_unanswered(now)
         if not self._attempts:
             return self._give_up(exceptions.NoBackendServer(Outcome.NOT_RUN))
         abandoned = (
@@ -454,6 +456,11 @@
             stretched = flight.expected_s / max(usual.get(route), 1e-3)
             usual.add(route, (now - flight.sent_at) / stretched)
 
+    def _learn_unanswered(self, now: float) -> None:
+        """Learn from servers that have not answered until now."""
+        for attempt in self._attempts:
+            attempt.backend.note_unanswered(attempt, now)
+
     def _is_held(self, now: float) -> bool:
         """Return whether requests like this one crash servers."""
         book = self._context.crash_book
--- a/tarragonlift/core/fleet/server.py
+++ b/tarragonlift/core/fleet/server.py
@@ -155,6 +155,15 @@
         self.speed.add(min(ratio, 10.0), now)
         self.failures.add(0.0, now)
 
+    def note_unanswered(self, attempt: object, now: float) -> None:
+        """Learn from a request that should have been answered by now."""
+        one = self.in_flight.get(attempt)
+        if one is None:
+            return
+        ratio = (now - one.sent_at) / max(one.expected_s, 1e-3)
+        if ratio > 1.0:
+            self.speed.add(min(ratio, 10.0), now)
+
     def note_failure(self, now: float) -> None:
         """Avoid the server for a moment."""
         self.failures.add(1.0, now)
--- a/tests/core/fleet/test_delivery.py
+++ b/tests/core/fleet/test_delivery.py
@@ -163,6 +163,17 @@
             again += len(common.of_type(wanted, actions.Send))
         assert again <= 0.2 * 200 + 62
 
+    def test_server_that_lost_to_a_hedge_counts_as_slow(self) -> None:
+        """Learn from the answer that did not come."""
+        made = common.fleet(common.entry("a"), common.entry("b"))
+        common.report(made, "a")
+        delivery = common.open_delivery(made)
+        first = common.sent(delivery.start(NOW))
+        common.report(made, "b", now=NOW + 0.125)
+        second = common.sent(delivery.on_wake(NOW + 0.125))
+        delivery.on_answer(second, Verdict.SUCCESS, NOW + 0.22)
+        assert first.backend.own_speed(NOW + 0.22) > 1.1
+
     def test_caller_who_left_cancels(self) -> None:
         """Close the connections of an idempotent request."""
         made = common.fleet(common.entry("a"))
