Read the settings again on SIGHUP and when their file changes

Cause: a reload was only logged. Change: times and budgets take effect in a running process, errors leave what was read before in force, the rest is told as needing a restart. Tests: three on the real process, which failed before.

--- a/tarragonlift/components/gateway/daemon.py
+++ b/tarragonlift/components/gateway/daemon.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import abc
+import math
 import random
 import signal
 import time
@@ -25,6 +27,7 @@
 from tarragonlift.core.fleet import fleet as fleet_module
 from tarragonlift.core.fleet import members
 from tarragonlift.core import models
+from tarragonlift import exceptions
 
 METRICS_PATH = "/metrics"
 
@@ -49,6 +52,22 @@
     crossing_loss_per_kib: float = fleet_const.CROSSING_LOSS_PER_KIB
 
 
+class SettingsSource(abc.ABC):
+    """Where the settings of the process come from."""
+
+    @abc.abstractmethod
+    def has_changed(self) -> bool:
+        """Return whether they changed since they were read."""
+
+    @abc.abstractmethod
+    def read(self) -> FleetSettings:
+        """Return the settings.
+
+        Raises OSError where there are none, InvalidDocument with every
+        error in them.
+        """
+
+
 class FleetDaemon(circuits.Component):  # type: ignore[misc]
     """One daemon in front of a listed fleet."""
 
@@ -68,6 +87,8 @@
         self._stopping_since: float | None = None
         self._accepting = True
         self._reload_wanted = False
+        self._looked_at = -math.inf
+        self._source: SettingsSource | None = None
         self._poller = poller_module.DataPoller(logs.log_error)
         self._poller.register(self)
         self._metrics = metrics.create_recorder(None)
@@ -110,6 +131,10 @@
         )
         self._follower.tell = self._news.send
 
+    def use_settings(self, source: SettingsSource) -> None:
+        """Follow changes of the settings while the process runs."""
+        self._source = source
+
     def is_ready(self) -> bool:
         """Return whether callers should be sent to this daemon."""
         return self._stopping_since is None and self._fleet.is_informed
@@ -178,9 +203,8 @@
     def _tick(self, now: float) -> None:
         """Do what is due at short intervals."""
         self._poller.call_at(now + const.TICK_S, self._tick)
-        if self._reload_wanted:
-            self._reload_wanted = False
-            logs.log_belief("reload", reason="signal")
+        if self._reload_wanted or now - self._looked_at > const.SETTINGS_S:
+            self._look_at_settings(now)
         if self._stopping_since is not None:
             self._go_on_stopping(now)
         self._metrics.gauge("in_progress", self._gateway.in_progress)
@@ -190,6 +214,40 @@
         self._ready.sweep(now)
         self._log_writer.flush()
 
+    def _look_at_settings(self, now: float) -> None:
+        """Read the settings after a signal or a change of their file."""
+        signalled, self._reload_wanted = self._reload_wanted, False
+        self._looked_at = now
+        if self._source is None:
+            return
+        if not self._source.has_changed() and not signalled:
+            return
+        try:
+            found = self._source.read()
+        except (OSError, exceptions.InvalidDocument) as error:
+            # What was read before stays in force.
+            logs.log_error(error, reload="failed")
+            return
+        self._apply(found)
+
+    def _apply(self, found: FleetSettings) -> None:
+        """Take what may change in a process that runs: times and budgets."""
+        before = self._settings
+        self._settings = attrs.evolve(
+            before,
+            known_within_s=found.known_within_s,
+            stop_within_s=found.stop_within_s,
+            extra_calls=found.extra_calls,
+        )
+        self._fleet.set_extra_calls(found.extra_calls)
+        if self._follower is not None:
+            self._follower.set_known_within(found.known_within_s)
+        logs.log_belief(
+            "reload",
+            changed=self._settings != before,
+            needs_restart=self._settings != found,
+        )
+
     def _go_on_stopping(self, now: float) -> None:
         """Take the next step of the graceful stop."""
         since = self._stopping_since or now
--- a/tarragonlift/components/gateway/follower.py
+++ b/tarragonlift/components/gateway/follower.py
@@ -84,8 +84,8 @@
         self._store = store
         self._fleet = fleet
         self._metrics = metrics
-        self._longest_s = known_within_s * const.LIST_SHARE
-        self._turns = turns.ReadingTurns(fleet.members, self._longest_s)
+        self._turns = turns.ReadingTurns(fleet.members)
+        self.set_known_within(known_within_s)
         self._view = list_view.ListView()
         self._reading = False
         self._retry_at = -math.inf
@@ -93,11 +93,16 @@
         self._reread_at = -math.inf
         self._rng = rng
         self._operators = Dependency("operators", const.RETRY_MOST_S)
-        self._servers = Dependency("servers", self._longest_s / 2)
+        self._servers = Dependency("servers", const.RETRY_MOST_S / 2)
         self._members = Dependency("members", const.RETRY_MOST_S)
         self._stopped = False
         self.tell: abc.Callable[[list_view.ListNews], None] = _ignore
 
+    def set_known_within(self, seconds: float) -> None:
+        """Know the leaving of a server within this time from now on."""
+        self._longest_s = seconds * const.LIST_SHARE
+        self._turns.set_longest(self._longest_s)
+
     def start(self) -> None:
         """Follow from now on."""
         now = self._loop.now()
--- a/tarragonlift/core/fleet/fleet.py
+++ b/tarragonlift/core/fleet/fleet.py
@@ -130,6 +130,13 @@
                 out.discard(name)
         return adopted, self.registry.set_out(out)
 
+    def set_extra_calls(self, extra_calls: ExtraCalls) -> None:
+        """Allow other numbers of extra calls from now on."""
+        self._extra_calls = extra_calls
+        for one in self._budgets.values():
+            one.set_share(extra_calls.share * const.EXTRA_SHARE_USED)
+            one.set_most(self._budget_most)
+
     def agrees(self, configuration: int, out: abc.Iterable[str]) -> bool:
         """Return whether a daemon that told this knows no more of operators.
 
--- a/tarragonlift/core/fleet/turns.py
+++ b/tarragonlift/core/fleet/turns.py
@@ -19,15 +19,18 @@
 class ReadingTurns:
     """Tells when this daemon has to read the list."""
 
-    def __init__(
-        self, members: members_module.Members, longest_s: float
-    ) -> None:
-        """Let the list never get older than ``longest_s`` seconds."""
+    def __init__(self, members: members_module.Members) -> None:
+        """Take turns with these daemons."""
         self._members = members
-        self._longest_s = longest_s
+        self._longest_s = 0.0
         self._known_at = -math.inf
         self._ranked: tuple[str, ...] = ()
-        self._wait_s = longest_s
+        self._wait_s = 0.0
+
+    def set_longest(self, seconds: float) -> None:
+        """Let the list never get older than this, in seconds."""
+        self._longest_s = seconds
+        self._ranked = ()
 
     @property
     def known_at(self) -> float:
--- a/tests/core/fleet/test_list_view.py
+++ b/tests/core/fleet/test_list_view.py
@@ -54,7 +54,9 @@
     for own in everybody:
         known = members.Members(own)
         known.set_members(everybody)
-        made.append(turns.ReadingTurns(known, 1.3))
+        one = turns.ReadingTurns(known)
+        one.set_longest(1.3)
+        made.append(one)
     return made
 
 
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -361,6 +361,11 @@
         for _ in self.servers:
             self.wait_line(change="backend-listed")
 
+    def change_settings(self, old: str, new: str) -> None:
+        """Change the settings file of the daemon."""
+        path = self._folder / "entry-1.conf"
+        path.write_text(path.read_text().replace(old, new))
+
     def close(self) -> None:
         """End the daemon and the stand-ins."""
         self.daemon.send_signal(signal.SIGKILL)
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -321,6 +321,29 @@
         site.wait_line(about="dependency", lost=False)
 
 
+class TestReload:
+    """The settings file changes."""
+
+    def test_signal_reads_it_again(self, site: standin.Site) -> None:
+        """Tell that nothing changed."""
+        site.daemon.send_signal(signal.SIGHUP)
+        line = site.wait_line(about="reload")
+        assert line["changed"] is False
+
+    def test_change_without_a_signal_is_seen(self, site: standin.Site) -> None:
+        """Put new times in force."""
+        site.change_settings("bounds.drain=2000ms", "bounds.drain=3s")
+        line = site.wait_line(about="reload")
+        assert line["changed"] is True
+        assert line["needs_restart"] is False
+
+    def test_bad_file_changes_nothing(self, site: standin.Site) -> None:
+        """Log every error and serve on."""
+        site.change_settings("bounds.drain=2000ms", "bounds.drain=soon")
+        site.wait_line(reload="failed")
+        assert standin.status_of(ask(site, "/look/1", "r-1")) == 200
+
+
 class TestStop:
     """A graceful stop."""
 
