Bound the probes by the agreed number; take back the third round

Change: each daemon has a token bucket, 0.8 of the agreed rate for all servers divided by the daemons; without a token the best known server is taken.

--- a/tarragonlift/components/gateway/const.py
+++ b/tarragonlift/components/gateway/const.py
@@ -19,6 +19,8 @@
 # Seconds for which a request waits for probes: several times their round
 # trip between data centres.
 PROBE_WAIT_S = 0.02
+# Seconds of its rate of probes that a daemon may send at once.
+PROBE_BURST_S = 1.0
 # Seconds that a probe's answer may take before its connection is closed.
 PROBE_TIMEOUT_S = 1.0
 
--- a/tarragonlift/components/gateway/daemon.py
+++ b/tarragonlift/components/gateway/daemon.py
@@ -37,7 +37,8 @@
     """Settings of a daemon's process.
 
     ``known_within_s`` is the time within which the leaving of a server must
-    be known; ``stop_within_s`` that from SIGTERM to SIGKILL.
+    be known; ``stop_within_s`` that from SIGTERM to SIGKILL. A server gets at
+    most ``probes_per_s`` probes a second from all daemons together.
     """
 
     daemon: str
@@ -48,6 +49,7 @@
     metrics: models.Address | None
     known_within_s: float = 2.0
     stop_within_s: float = 6.0
+    probes_per_s: float = 60.0
     extra_calls: fleet_module.ExtraCalls = fleet_module.ExtraCalls()
     crossing_loss_per_kib: float = fleet_const.CROSSING_LOSS_PER_KIB
 
@@ -207,6 +209,8 @@
             self._look_at_settings(now)
         if self._stopping_since is not None:
             self._go_on_stopping(now)
+        rate = self._fleet.probe_rate(self._settings.probes_per_s)
+        self._gateway.set_probe_rate(rate)
         self._metrics.gauge("in_progress", self._gateway.in_progress)
         self._metrics.gauge("configuration", self._fleet.version)
         self._metrics.gauge("log_lines_lost", self._log_writer.dropped_total)
--- a/tarragonlift/components/gateway/gateway.py
+++ b/tarragonlift/components/gateway/gateway.py
@@ -94,6 +94,10 @@
             if connection.close_if_idle():
                 self._callers.discard(connection)
 
+    def set_probe_rate(self, rate: float) -> None:
+        """Send at most this many probes a second to all servers."""
+        self._prober.set_rate(rate)
+
     def close(self) -> None:
         """Close everything."""
         if self._listener is not None:
--- a/tarragonlift/components/gateway/prober.py
+++ b/tarragonlift/components/gateway/prober.py
@@ -12,6 +12,7 @@
 from tarragonlift.components.gateway import dialect as dialect_module
 from tarragonlift.components import logs
 from tarragonlift.components.metrics import recorder
+from tarragonlift.core import budget
 from tarragonlift.core.fleet import registry as registry_module
 from tarragonlift.core.fleet import server as server_module
 
@@ -75,17 +76,22 @@
         self._dialect = dialect
         self._metrics = metrics
         self._running: dict[FleetServer, Probe] = {}
+        self._budget = budget.RateBudget(0.0, 0.0)
 
     def ask(self, server: FleetServer, done: Done) -> None:
         """Ask a server; ``done`` is called once it answered or failed."""
         probe = self._running.get(server)
-        if probe is None:
+        if probe is None and self._budget.try_spend(time.monotonic()):
             probe = self._begin(server)
         if probe is None:
             self._poller.call_soon(done)
             return
         probe.waiting.append(done)
 
+    def set_rate(self, rate: float) -> None:
+        """Send at most this many probes a second."""
+        self._budget.set_rate(rate, rate * const.PROBE_BURST_S)
+
     def is_health(self, head: client.AnswerHead) -> bool:
         """Return whether the answer is one to a health check."""
         return self._dialect.is_health(head)
--- a/tarragonlift/core/budget.py
+++ b/tarragonlift/core/budget.py
@@ -62,6 +62,22 @@
         self._tokens = burst
         self._filled_at = 0.0
 
+    def set_rate(self, rate: float, burst: float) -> None:
+        """Fill at another rate from now on, up to another burst."""
+        self._rate = rate
+        self._burst = burst
+        self._tokens = min(self._tokens, burst)
+
+    def try_spend(self, now: float) -> bool:
+        """Take one token, or return False when there is none now."""
+        passed = max(0.0, now - self._filled_at)
+        self._filled_at = max(now, self._filled_at)
+        self._tokens = min(self._burst, self._tokens + passed * self._rate)
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
+
     def spend_at(self, now: float) -> float:
         """Take one token; return when it may be used, now or later."""
         passed = max(0.0, now - self._filled_at)
--- a/tarragonlift/core/fleet/chooser.py
+++ b/tarragonlift/core/fleet/chooser.py
@@ -185,8 +185,7 @@
     ) -> list[FleetServer]:
         """Return the most promising servers without a fresh report.
 
-        Those of the own data centre come first: a probe of another one
-        costs bytes that cross. The first round asks no other.
+        The first round asks in the own data centre, where there is any.
         """
         stale = [one for one in weighed if not one.server.is_fresh(now)]
         if best is not None:
@@ -195,15 +194,9 @@
         near = [one for one in stale if one.server.entry.data_centre == own]
         if rounds == 0 and near:
             stale = near
-        stale.sort(key=self._order)
+        stale.sort(key=lambda one: self._hope(one) + self._rng.random() * 0.1)
         return [one.server for one in stale[: const.PROBES_AT_ONCE]]
 
-    def _order(self, one: Choice) -> tuple[bool, float]:
-        """Return the place of a server among those to ask."""
-        is_far = one.server.entry.data_centre != self._data_centre
-        chance = self._rng.random() * const.ASK_SPREAD
-        return is_far, self._hope(one) + chance
-
     @staticmethod
     def _hope(one: Choice) -> float:
         """Return the loss if the server turned out to be fast."""
--- a/tarragonlift/core/fleet/const.py
+++ b/tarragonlift/core/fleet/const.py
@@ -6,6 +6,8 @@
 # servers changes within milliseconds; a probe's round trip takes about two.
 REPORT_FRESH_S = 0.03
 
+# Part of the allowed probes that all daemons plan with.
+PROBE_SHARE_USED = 0.8
 # Servers asked at once: three of which one in four is slow leave 1 in 64.
 PROBES_AT_ONCE = 3
 # Servers of the own data centre, and as many of the others, that one daemon
@@ -13,10 +15,7 @@
 # connection to each is used before it is idle for long.
 SUBSET_SERVERS = 8
 # Rounds of probes before the best known server is taken.
-PROBE_ROUNDS_MOST = 3
-# Difference of expected loss below which chance decides whom to ask, so that
-# the servers of a service get equal shares.
-ASK_SPREAD = 0.1
+PROBE_ROUNDS_MOST = 2
 # Share of the target latency for which a request may wait for room.
 HOLD_SHARE = 0.125
 # A caller with this much less time than others of its route has sent before;
--- a/tarragonlift/core/fleet/fleet.py
+++ b/tarragonlift/core/fleet/fleet.py
@@ -137,6 +137,16 @@
             one.set_share(extra_calls.share * const.EXTRA_SHARE_USED)
             one.set_most(self._budget_most)
 
+    def probe_rate(self, probes_per_s: float) -> float:
+        """Return this daemon's part of the probes that all may send.
+
+        ``probes_per_s`` is the most for each server and second, from all
+        daemons together.
+        """
+        servers = len(self.registry.servers)
+        used = probes_per_s * const.PROBE_SHARE_USED
+        return used * servers / len(self.members)
+
     def agrees(self, configuration: int, out: abc.Iterable[str]) -> bool:
         """Return whether a daemon that told this knows no more of operators.
 
--- a/tests/core/fleet/test_chooser.py
+++ b/tests/core/fleet/test_chooser.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 from tarragonlift.core import actions
+from tarragonlift.core import budget
 from tarragonlift.core.fleet import const
 from tarragonlift.core.fleet import delivery as delivery_module
+from tarragonlift.core.fleet import doors
 from tests.core.fleet import common
 
 NOW = common.NOW
@@ -104,6 +106,26 @@
         assert common.sent(wanted).backend.server_id in ("s-7", "s-31")
 
 
+class TestProbeRate:
+    """Probes of all daemons stay within the agreed number."""
+
+    def test_daemons_share_the_rate(self) -> None:
+        """Add up to less than the most for each server."""
+        made = common.fleet(common.entry("a"), common.entry("b"))
+        rows = [
+            doors.MemberRow(common.member(f"daemon-{n}"), NOW)
+            for n in range(1, 11)
+        ]
+        made.set_members(rows, NOW, 60.0)
+        assert 0 < 10 * made.probe_rate(60.0) <= 60.0 * 2
+
+    def test_budget_ends(self) -> None:
+        """Refuse a probe beyond the rate."""
+        rate = budget.RateBudget(10.0, 5.0)
+        sent = sum(rate.try_spend(NOW + n / 1000) for n in range(1000))
+        assert 10 <= sent <= 15
+
+
 class TestSplit:
     """Shares of a route's services."""
 
