Fill a rate budget in one place

Cause: try_spend repeated the refill of spend_at. Behaviour is unchanged: lint and the tests of core/fleet, seats, gateway and pages pass.

--- a/tarragonlift/core/budget.py
+++ b/tarragonlift/core/budget.py
@@ -70,9 +70,7 @@
 
     def try_spend(self, now: float) -> bool:
         """Take one token, or return False when there is none now."""
-        passed = max(0.0, now - self._filled_at)
-        self._filled_at = max(now, self._filled_at)
-        self._tokens = min(self._burst, self._tokens + passed * self._rate)
+        self._fill(now)
         if self._tokens < 1.0:
             return False
         self._tokens -= 1.0
@@ -80,10 +78,14 @@
 
     def spend_at(self, now: float) -> float:
         """Take one token; return when it may be used, now or later."""
-        passed = max(0.0, now - self._filled_at)
-        self._filled_at = max(now, self._filled_at)
-        self._tokens = min(self._burst, self._tokens + passed * self._rate)
+        self._fill(now)
         self._tokens -= 1.0
         if self._tokens >= 0.0:
             return now
         return now - self._tokens / self._rate
+
+    def _fill(self, now: float) -> None:
+        """Add the tokens of the time that passed."""
+        passed = max(0.0, now - self._filled_at)
+        self._filled_at = max(now, self._filled_at)
+        self._tokens = min(self._burst, self._tokens + passed * self._rate)
