Count the window of a data centre that is out to the first command back

At 18.0 s the operator asks entry-0 for haskovo back; entry-0 is cut off at that moment, follows its operator's command and sends work from 19.06 on; at 23.0 s it tells that no other daemon confirmed, at 24.0 s the operator asks entry-1. Each command moved the end of the checked window, so the work of 19.06 fell into it. Ruled out: a fault of the daemon: the command was its own operator's and it had known no later one; after 3 s of silence it takes no work (is_isolated).

--- a/tarragonlift_lab/faults.py
+++ b/tarragonlift_lab/faults.py
@@ -200,6 +200,8 @@
         """An operator takes a data centre out or back."""
         self.on_step("out" if out else "back", self.nodes[0], None)
         kind = replica.KIND_DATA_CENTRE
+        if not out and self.out_at:
+            self.out_at[-1] = (*self.out_at[-1][:2], self.world.now)
         known = [one.balancer.replica.get(kind, place) for one in self.nodes]
         version = max((one.version for one in known if one), default=0)
         self._try_move(place, out, version, 0)
@@ -242,8 +244,6 @@
             if not confirmed_at and number < len(live):
                 self._try_move(place, out, version, number + 1)
 
-        if not out and self.out_at:
-            self.out_at[-1] = (*self.out_at[-1][:2], self.world.now)
         confirmed_at: dict[int, float] = {}
         node.process.deliver(work)
         self.world.call_later(OPERATOR_PATIENCE_SECONDS, look)
