Break the circle of modules in the core

Cause: actions, call and pool imported one another for types. Change: WaitingCall, the two decisions a queue needs of a call, stands in actions; Call is one. Ruled out: a module of its own for WaitingCall: it would need Action, and Evict needs it.

--- a/tarragonlift/core/actions.py
+++ b/tarragonlift/core/actions.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+import abc
 
 import attrs
 
@@ -11,9 +11,6 @@
 from tarragonlift.core import models
 from tarragonlift import exceptions
 
-if TYPE_CHECKING:
-    from tarragonlift.core import call as call_module
-
 
 @attrs.define(eq=False)
 class Attempt:
@@ -29,6 +26,18 @@
     """Base of everything that a decision asks for."""
 
 
+class WaitingCall(abc.ABC):
+    """A call that may wait for its turn in the queue of a service."""
+
+    @abc.abstractmethod
+    def on_turn(self, now: float) -> list[Action]:
+        """Leave the queue: a backend server may have room."""
+
+    @abc.abstractmethod
+    def on_evicted(self) -> list[Action]:
+        """Leave the queue: another caller has the better claim."""
+
+
 @attrs.frozen
 class Send(Action):
     """Send the request to the backend server of the attempt."""
@@ -73,7 +82,7 @@
 class Evict(Action):
     """Tell another call that it gave way in the queue."""
 
-    call: call_module.Call
+    call: WaitingCall
 
 
 @attrs.frozen
--- a/tarragonlift/core/call.py
+++ b/tarragonlift/core/call.py
@@ -40,7 +40,7 @@
     UNKNOWN = "unknown"
 
 
-class Call:
+class Call(actions.WaitingCall):
     """Decides what happens to one request.
 
     Each method takes what happened and the time, and returns actions. A call
--- a/tarragonlift/core/pool.py
+++ b/tarragonlift/core/pool.py
@@ -4,8 +4,8 @@
 
 from collections import abc
 import itertools
-from typing import TYPE_CHECKING
 
+from tarragonlift.core import actions
 from tarragonlift.core import backend as backend_module
 from tarragonlift.core import budget
 from tarragonlift.core import const
@@ -15,9 +15,6 @@
 from tarragonlift.core import rendezvous
 from tarragonlift.core import routing
 
-if TYPE_CHECKING:
-    from tarragonlift.core import call as call_module
-
 HEDGE_DELAY_START_S = 0.05
 # The delay aims at a little less than the budget, so that it never runs out.
 HEDGE_AIM = 0.8
@@ -44,7 +41,7 @@
         self._other: list[Backend] = []
         self._dividing: abc.Iterator[None] = iter(())
         self._is_blind: abc.Callable[[float], bool] = _never
-        self.queue: fair_queue.FairQueue[call_module.Call] = (
+        self.queue: fair_queue.FairQueue[actions.WaitingCall] = (
             fair_queue.FairQueue(service.queue_length)
         )
         self.retry_budget = budget.ExtraCallBudget(service.retry_share)
