--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -13,11 +13,14 @@
 import subprocess
 import sys
 import threading
+import time
 import urllib.parse
 
 import attrs
 
+SERVICE = "svc"
 ROOT = pathlib.Path(__file__).resolve().parents[2]
+PROGRAM = ROOT / "platform" / "serve.py"
 SETTINGS = """\
 nodeName={name}
 zone=here
@@ -174,26 +177,44 @@
         return {"rows": rows, "hasMore": False, "ver": self.version}
 
 
+@attrs.define
+class Run:
+    """One run of a request, and what the server was at that time."""
+
+    request_id: str
+    server_id: str
+    service: str
+    # By the monotonic clock.
+    at: float
+    # The server broke the connection off instead of answering.
+    broke: bool = False
+
+
 class Instance(Server):
     """A backend server with faults that a test sets."""
 
-    def __init__(self, server_id: str, service: str = "svc") -> None:
+    def __init__(self, server_id: str, service: str = SERVICE) -> None:
         """Answer in time until told otherwise."""
         self.server_id = server_id
         self.service = service
         self.mode = "good"
         self.delay_s = 0.0
-        self.ran: list[str] = []
+        self.runs: list[Run] = []
         self.bodies: list[bytes] = []
         self.cancelled: list[str] = []
         self.load = "0,0,6,100"
 
-    def entry(self, **changes: object) -> dict[str, object]:
-        """Return this server's entry in the list."""
+    @property
+    def ran(self) -> list[str]:
+        """Return the requests that ran here, by their ids."""
+        return [one.request_id for one in self.runs]
+
+    def entry(self, address: str = "", **changes: object) -> dict[str, object]:
+        """Return this server's entry in the list, at another address."""
         status = {"state": "ready", "seq": 1, "warmupLeft": "0ms"}
         status.update(changes)
         return {
-            "address": self.address,
+            "address": address or self.address,
             "serverInfo": {
                 "service": self.service,
                 "version": "v1",
@@ -224,11 +245,13 @@
             fields = {"X_Request_Id": request_id, "X_Not_Executed": "1"}
             writer.write(answer(503, **fields))
             return True
-        self.ran.append(request_id)
+        run = Run(request_id, self.server_id, self.service, time.monotonic())
+        self.runs.append(run)
         self.bodies.append(head.body)
         if self.delay_s and await self._is_left(reader):
             self.cancelled.append(request_id)
             return False
+        run.broke = self.mode in ("reset", "cut")
         return self._answer(head, request_id, writer)
 
     async def _is_left(self, reader: asyncio.StreamReader) -> bool:
@@ -305,8 +328,8 @@
     }
 
 
-class Site:
-    """A store, servers and one daemon, for the length of a test."""
+class Stage:
+    """A store and servers, on a thread of their own, and how to serve them."""
 
     def __init__(self, folder: pathlib.Path, *server_ids: str) -> None:
         """Start the stand-ins on a thread of their own."""
@@ -322,10 +345,6 @@
         self.store_put("op", "config", configuration(3))
         for server in self.servers:
             self.store_put("servers", server.server_id, server.entry())
-        self.lines: list[dict[str, object]] = []
-        self.daemon = self.start_daemon("entry-1")
-        self.listen = ""
-        self.ready = ""
 
     def call(self, function: abc.Callable[[], object]) -> object:
         """Call a function on the stand-ins' loop."""
@@ -343,6 +362,57 @@
         """Write a row of the store."""
         self.call(lambda: self.store.put(table, key, value))
 
+    def close(self) -> None:
+        """End the stand-ins."""
+        asyncio.run_coroutine_threadsafe(_cancel_others(), self._loop).result(
+            10
+        )
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join()
+        self._loop.close()
+
+    async def _make_store(self) -> Store:
+        """Start the store."""
+        store = Store()
+        await store.start()
+        return store
+
+    async def _make_server(self, name: str) -> Instance:
+        """Start a server."""
+        server = Instance(name)
+        await server.start()
+        return server
+
+    def start_daemon(
+        self,
+        name: str,
+        store: str = "",
+        program: pathlib.Path = PROGRAM,
+        **variables: str,
+    ) -> subprocess.Popen[bytes]:
+        """Start a daemon as the platform does."""
+        path = self._folder / f"{name}.conf"
+        store = store or self.store.address
+        path.write_text(SETTINGS.format(store=store, name=name))
+        return subprocess.Popen(
+            [sys.executable, str(program)],
+            env={"TARRAGONLIFT_SETTINGS": str(path), "PATH": "", **variables},
+            stdout=subprocess.PIPE,
+            cwd=ROOT,
+        )
+
+
+class Site(Stage):
+    """A stage with one daemon, for the length of a test."""
+
+    def __init__(self, folder: pathlib.Path, *server_ids: str) -> None:
+        """Start the stand-ins and the daemon."""
+        super().__init__(folder, *server_ids)
+        self.lines: list[dict[str, object]] = []
+        self.daemon = self.start_daemon("entry-1")
+        self.listen = ""
+        self.ready = ""
+
     def wait_line(self, **facts: object) -> dict[str, object]:
         """Read the daemon's log up to a line with these facts."""
         assert self.daemon.stdout is not None
@@ -372,35 +442,7 @@
         self.daemon.wait()
         assert self.daemon.stdout is not None
         self.daemon.stdout.close()
-        asyncio.run_coroutine_threadsafe(_cancel_others(), self._loop).result(
-            10
-        )
-        self._loop.call_soon_threadsafe(self._loop.stop)
-        self._thread.join()
-        self._loop.close()
-
-    async def _make_store(self) -> Store:
-        """Start the store."""
-        store = Store()
-        await store.start()
-        return store
-
-    async def _make_server(self, name: str) -> Instance:
-        """Start a server."""
-        server = Instance(name)
-        await server.start()
-        return server
-
-    def start_daemon(self, name: str) -> subprocess.Popen[bytes]:
-        """Start a daemon as the platform does."""
-        path = self._folder / f"{name}.conf"
-        path.write_text(SETTINGS.format(store=self.store.address, name=name))
-        return subprocess.Popen(
-            [sys.executable, str(ROOT / "platform" / "serve.py")],
-            env={"TARRAGONLIFT_SETTINGS": str(path), "PATH": ""},
-            stdout=subprocess.PIPE,
-            cwd=ROOT,
-        )
+        super().close()
 
 
 def status_of(received: bytes) -> int:
