Give up a store's answer by silence, not by its length

Change: the time of a call counts until its answer begins; then 0.5 s without a byte, or 5 s in all, end it.

--- a/tarragonlift/components/platform/client.py
+++ b/tarragonlift/components/platform/client.py
@@ -4,6 +4,7 @@
 
 import collections
 from collections import abc
+import math
 import time
 
 import attrs
@@ -36,7 +37,10 @@
     owner: PlatformClient
     data: bytes
     callback: Callback
+    # When the job is given up unless more of its answer comes; and in any
+    # case, once the answer has begun.
     due_at: float
+    last_at: float = math.inf
     connection: client.ClientConnection | None = None
     head: client.AnswerHead | None = None
     body: list[bytes] = attrs.field(factory=list)
@@ -45,10 +49,14 @@
     def on_head(self, head: client.AnswerHead) -> None:
         """Take the head."""
         self.head = head
+        self.last_at = time.monotonic() + const.ANSWER_MOST_S
+        self._go_on()
+        self.owner.expect(self)
 
     def on_body(self, data: bytes) -> None:
         """Take a part of the body."""
         self.body.append(data)
+        self._go_on()
 
     def on_complete(self) -> None:
         """Hand over the answer."""
@@ -66,6 +74,11 @@
         else:
             self.owner.end(self, exceptions.PlatformUnavailable())
 
+    def _go_on(self) -> None:
+        """Wait on: the answer keeps coming."""
+        due_at = time.monotonic() + const.SILENCE_S
+        self.due_at = min(self.last_at, due_at)
+
 
 class PlatformClient:
     """Keeps a few connections and a bounded queue of requests."""
@@ -92,7 +105,10 @@
         timeout_s: float = const.TIMEOUT_S,
         content_type: str = "",
     ) -> None:
-        """Send a request; the callback gets the answer or the error."""
+        """Send a request; the callback gets the answer or the error.
+
+        The answer must begin within ``timeout_s`` seconds.
+        """
         if len(self._waiting) >= const.WAITING_MOST:
             callback(exceptions.PlatformUnavailable())
             return
@@ -109,9 +125,13 @@
         job = _Job(self, data, callback, due_at)
         self.requests += 1
         self._waiting.append(job)
-        self._poller.timers.call_at(due_at, lambda now: self._expire(job))
+        self.expect(job)
         self._next()
 
+    def expect(self, job: _Job) -> None:
+        """Look at a request again when its answer is overdue."""
+        self._poller.timers.call_at(job.due_at, lambda now: self._expire(job))
+
     def end(self, job: _Job, result: Result) -> None:
         """Take the end of a request."""
         if job.ended:
@@ -169,6 +189,9 @@
         """Give up on an answer that did not come in time."""
         if job.ended:
             return
+        if job.due_at > time.monotonic():
+            self.expect(job)
+            return
         connection = job.connection
         if connection is None or not connection.established:
             if connection is not None:
--- a/tarragonlift/components/platform/const.py
+++ b/tarragonlift/components/platform/const.py
@@ -2,7 +2,14 @@
 
 from __future__ import annotations
 
+# Seconds until an answer begins, unless a call says otherwise.
 TIMEOUT_S = 1.0
+# Seconds of silence within an answer after which it is given up: long ones
+# take their time over a slow link.
+SILENCE_S = 0.5
+# Seconds after which a whole answer is given up: 1 MiB over a slow link of 2
+# Mbit/s takes 4.
+ANSWER_MOST_S = 5.0
 CONNECTIONS_MOST = 4
 WAITING_MOST = 512
 
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -109,6 +109,9 @@
         self.version = 0
         self.calls: list[str] = []
         self.refusing = False
+        # Parts in which answers go out, and the pause between two of them.
+        self.parts = 1
+        self.part_pause_s = 0.0
         self._changed: asyncio.Event = asyncio.Event()
 
     def put(self, table: str, key: str, value: object) -> None:
@@ -145,9 +148,18 @@
             document = self._rows(facts["table"], 0, whole=True)
         else:
             document = await self._feed(facts)
-        writer.write(answer(200, json.dumps(document).encode()))
+        await self._send(answer(200, json.dumps(document).encode()), writer)
         return True
 
+    async def _send(self, data: bytes, writer: asyncio.StreamWriter) -> None:
+        """Send an answer, in parts as over a slow link where a test says."""
+        length = -(-len(data) // self.parts)
+        for start in range(0, len(data), length):
+            if start:
+                await asyncio.sleep(self.part_pause_s)
+            writer.write(data[start : start + length])
+            await writer.drain()
+
     async def _feed(self, facts: dict[str, str]) -> dict[str, object]:
         """Return changes as soon as there are any."""
         after = int(facts["after"])
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -312,6 +312,17 @@
         site.wait_line(about="unreadable_document")
         assert standin.status_of(ask(site, "/look/1", "r-1")) == 200
 
+    def test_long_answer_over_a_slow_link_is_taken(
+        self, site: standin.Site
+    ) -> None:
+        """Take a configuration that comes slowly but keeps coming."""
+        site.store.parts = 12
+        site.store.part_pause_s = 0.2
+        site.store_put("op", "config", standin.configuration(4, "more"))
+        site.wait_line(about="configuration", version=4)
+        losses = [one for one in site.lines if one.get("lost")]
+        assert losses == []
+
     def test_store_away_hurts_no_request(self, site: standin.Site) -> None:
         """Serve on with what was read last; say when it is back."""
         site.store.refusing = True
