Use cold newcomers at the daemons that own them

A cold server gets work from at most four owners, but an owner uses only the eight servers of its subset among some fifty, so half of the newcomers had no owner that would ask them; and a cold server's chance of a late answer counted twice even before it was asked, so that it was never asked. Change: an owner weighs the cold servers it owns beside its subset; what would vanish with a good report doesn't count when choosing whom to ask. Ruled out: more owners: the sum over views that differ must stay in the bound.

--- a/tarragonlift/core/fleet/chooser.py
+++ b/tarragonlift/core/fleet/chooser.py
@@ -28,6 +28,8 @@
     server: FleetServer
     expected_s: float
     loss: float
+    # The part of the loss that would vanish with a good report.
+    doubt: float = const.LATE_LOSS
 
 
 @attrs.frozen
@@ -97,7 +99,7 @@
         """
         usable = [
             one
-            for one in self._within_reach(request.service, wide)
+            for one in self._within_reach(request.service, wide, now)
             if one.server_id not in tried and self._registry.may_send(one, now)
         ]
         if not usable:
@@ -123,11 +125,13 @@
             return 1.0
         return 1.0 / (1.0 + (left_s / expected_s) ** const.LATE_SLOPE)
 
-    def _within_reach(self, service: str, wide: bool) -> list[FleetServer]:
+    def _within_reach(
+        self, service: str, wide: bool, now: float
+    ) -> list[FleetServer]:
         """Return the servers to weigh.
 
-        Of a large fleet those that this daemon keeps connections to, all of
-        them where ``wide``.
+        Of a large fleet those that this daemon keeps connections to and the
+        cold ones that it owns, all of them where ``wide``.
         """
         usable = self._registry.usable(service)
         if wide:
@@ -135,7 +139,15 @@
         own = self._data_centre
         near = [one for one in usable if one.entry.data_centre == own]
         far = [one for one in usable if one.entry.data_centre != own]
-        return self._subset(near) + self._subset(far)
+        found = self._subset(near)
+        found += [
+            one
+            for one in near
+            if one.is_cold(now)
+            and one not in found
+            and self._registry.owns(one)
+        ]
+        return found + self._subset(far)
 
     def _subset(self, servers: list[FleetServer]) -> list[FleetServer]:
         """Return the servers of this daemon, by rendezvous."""
@@ -169,12 +181,14 @@
             loss += HEALTH_LOSS
         if now < one.avoid_until:
             loss += AVOID_LOSS
+        doubt = const.LATE_LOSS
         if one.is_cold(now):
             loss += const.LATE_LOSS * late
+            doubt += const.LATE_LOSS * late
         if one.entry.data_centre != self._data_centre:
             kib = 1.0 + body_bytes / BYTES_PER_KIB
             loss += self._crossing_loss * kib
-        return Choice(one, expected, loss)
+        return Choice(one, expected, loss, doubt)
 
     def _servers_to_ask(
         self,
@@ -200,4 +214,4 @@
     @staticmethod
     def _hope(one: Choice) -> float:
         """Return the loss if the server turned out to be fast."""
-        return one.loss - const.LATE_LOSS
+        return one.loss - one.doubt
--- a/tarragonlift/core/fleet/registry.py
+++ b/tarragonlift/core/fleet/registry.py
@@ -122,10 +122,13 @@
             return False
         if not one.is_cold(now):
             return True
+        return self.owns(one) and now >= one.cold_next_at
+
+    def owns(self, one: FleetServer) -> bool:
+        """Return whether this daemon may send to the server while cold."""
         if not self._members.known:
             return False
-        owners = self._owners(one)
-        return self._members.own.daemon in owners and now >= one.cold_next_at
+        return self._members.own.daemon in self._owners(one)
 
     def note_sent(self, one: FleetServer, now: float) -> None:
         """Count a request sent to a server that may be cold."""
--- a/tests/core/fleet/test_chooser.py
+++ b/tests/core/fleet/test_chooser.py
@@ -7,6 +7,7 @@
 from tarragonlift.core.fleet import const
 from tarragonlift.core.fleet import delivery as delivery_module
 from tarragonlift.core.fleet import doors
+from tarragonlift.core.fleet import fleet as fleet_module
 from tests.core.fleet import common
 
 NOW = common.NOW
@@ -62,6 +63,17 @@
         assert names == ["a", "a", "b", "b"]
 
 
+def asked_of(made: fleet_module.Fleet) -> set[str]:
+    """Return the servers that a daemon asks for many requests."""
+    asked = set()
+    for _ in range(50):
+        wanted = common.open_delivery(made).start(NOW)
+        (probe,) = common.of_type(wanted, delivery_module.Probe)
+        assert isinstance(probe, delivery_module.Probe)
+        asked.update(one.server_id for one in probe.servers)
+    return asked
+
+
 class TestSubset:
     """A daemon uses a part of a large fleet."""
 
@@ -69,13 +81,19 @@
         """Ask the same servers again and again."""
         names = [f"s-{number}" for number in range(60)]
         made = common.fleet(*(common.entry(name) for name in names))
-        asked = set()
-        for _ in range(50):
-            wanted = common.open_delivery(made).start(NOW)
-            (probe,) = common.of_type(wanted, delivery_module.Probe)
-            assert isinstance(probe, delivery_module.Probe)
-            asked.update(one.server_id for one in probe.servers)
-        assert len(asked) <= const.SUBSET_SERVERS
+        assert len(asked_of(made)) <= const.SUBSET_SERVERS
+
+    def test_owners_use_a_cold_newcomer(self) -> None:
+        """Ask a newcomer at each daemon that may send to it while cold."""
+        names = [f"daemon-{number}" for number in range(10)]
+        rows = [doors.MemberRow(common.member(name), NOW) for name in names]
+        entries = [common.entry(f"s-{number}") for number in range(60)]
+        entries.append(common.entry("new", cold_for_s=3.0))
+        for name in names:
+            made = common.fleet(*entries, name=name)
+            made.set_members(rows, NOW, 60.0)
+            owners = made.members.cold_owners("new", common.HERE)
+            assert (name in owners) == ("new" in asked_of(made))
 
     def test_daemons_use_different_servers(self) -> None:
         """Leave no server without any daemon."""
