Wait for operators' changes only once the other daemons are known

Change: until the daemons' rows were read, only silence makes a daemon wait. Ruled out: reading the rows first: it would put off the configuration.

--- a/tarragonlift/core/fleet/watch.py
+++ b/tarragonlift/core/fleet/watch.py
@@ -42,11 +42,14 @@
 
     def is_due(self, now: float) -> bool:
         """Return whether this daemon has to wait for changes itself."""
-        self._rank()
-        if self._place < const.WATCHERS_MOST:
-            return True
-        first, last = const.WATCH_FIRST_SHARE, const.WATCH_LAST_SHARE
-        share = first + (last - first) * self._place / len(self._ranked)
+        share = const.WATCH_LAST_SHARE
+        if self._members.known:
+            self._rank()
+            if self._place < const.WATCHERS_MOST:
+                return True
+            first = const.WATCH_FIRST_SHARE
+            place = self._place / len(self._ranked)
+            share = first + (share - first) * place
         return now - self._told_at > self._within_s * share
 
     def _rank(self) -> None:
--- a/tests/core/fleet/test_watch.py
+++ b/tests/core/fleet/test_watch.py
@@ -49,6 +49,16 @@
         assert const.WATCHERS_MOST < soon < 30
         assert all(one.is_due(last) for one in made)
 
+    def test_nobody_waits_before_the_others_are_known(self) -> None:
+        """Hear first whether others wait; all daemons may start at once."""
+        known = members.Members(common.member("a"))
+        one = watch.OperatorWatch(known)
+        one.set_within(WITHIN_S)
+        one.on_told(NOW)
+        last = NOW + WITHIN_S * const.WATCH_LAST_SHARE
+        assert not one.is_due(last - 0.01)
+        assert one.is_due(last + 0.01)
+
     def test_sign_of_life_is_enough(self) -> None:
         """Go on relying on others that tell that they wait."""
         made = make_watches(30, common.HERE)
