Try less often while the store is away, all daemons together

Change: pauses grow until all daemons together try 20 times a second, up to 1.6 s each; a daemon that is told the same state by one that waits drops its own whole reading. Ruled out: one daemon trying for all: the store may turn it alone away.

--- a/tarragonlift/components/gateway/const.py
+++ b/tarragonlift/components/gateway/const.py
@@ -34,9 +34,12 @@
 DOUBT_S = 0.1
 # Seconds until the next try after the store failed.
 RETRY_S = 0.25
-# Longest pause between two tries, in seconds: other daemons tell news
-# meanwhile, and after it an operator's word must be known within two.
-RETRY_MOST_S = 1.0
+# Tries a second of all daemons together in a long outage: the first that
+# finds the store back tells the others.
+TRIES_PER_S = 20.0
+# Longest pause between two tries, in seconds: half as long again by chance is
+# less than the 3 s after which bounds hold again for a daemon that is alone.
+RETRY_MOST_S = 1.6
 # Longest wait of one call for changes of the configuration, seconds: the
 # longest that the platform allows less the way there.
 WAIT_S = 25.0
--- a/tarragonlift/components/gateway/dependency.py
+++ b/tarragonlift/components/gateway/dependency.py
@@ -12,13 +12,10 @@
 class Dependency:
     """One kind of reading, and how long to pause after it failed."""
 
-    def __init__(
-        self, name: str, retry_most_s: float, rng: random.Random
-    ) -> None:
-        """Begin as not lost; pauses grow up to ``retry_most_s`` seconds."""
+    def __init__(self, name: str, rng: random.Random) -> None:
+        """Begin as not lost."""
         self._name = name
         self._lost_at: float | None = None
-        self._retry_most_s = retry_most_s
         self._retry_s = const.RETRY_S
         self._rng = rng
 
@@ -27,8 +24,13 @@
         """Return whether the last reading failed."""
         return self._lost_at is not None
 
-    def fail(self, error: exceptions.PlatformError, now: float) -> float:
-        """Note a failed reading; return when to try again."""
+    def fail(
+        self, error: exceptions.PlatformError, now: float, daemons: int
+    ) -> float:
+        """Note a failed reading; return when to try again.
+
+        Pauses grow with each failure, the longer the more daemons there are.
+        """
         if self._lost_at is None:
             self._lost_at = now
             logs.log_belief(
@@ -38,7 +40,8 @@
                 error=type(error).__name__,
             )
         pause = self._retry_s
-        self._retry_s = min(2.0 * pause, self._retry_most_s)
+        most = min(const.RETRY_MOST_S, daemons / const.TRIES_PER_S)
+        self._retry_s = max(const.RETRY_S, min(2.0 * pause, most))
         return now + pause * (0.5 + self._rng.random())
 
     def succeed(self, now: float) -> bool:
--- a/tarragonlift/components/gateway/follower.py
+++ b/tarragonlift/components/gateway/follower.py
@@ -117,9 +117,7 @@
         self._reading = False
         self._retry_at = -math.inf
         self._lapsed_until = -math.inf
-        self._dependency = dependency.Dependency(
-            "servers", const.RETRY_MOST_S / 2, rng
-        )
+        self._dependency = dependency.Dependency("servers", rng)
         self.tell: abc.Callable[[list_view.ListNews], None] = _ignore
 
     def set_known_within(self, seconds: float) -> None:
@@ -157,7 +155,8 @@
         now = self._loop.now()
         self._reading = False
         if isinstance(found, Failure):
-            self._retry_at = self._dependency.fail(found, now)
+            daemons = len(self._fleet.members)
+            self._retry_at = self._dependency.fail(found, now, daemons)
             return
         if self._dependency.succeed(now):
             self._keep_lapsed(now, fleet_const.LAPSED_KEPT_S)
--- a/tarragonlift/components/gateway/member_rows.py
+++ b/tarragonlift/components/gateway/member_rows.py
@@ -34,9 +34,7 @@
         self._fleet = fleet
         self._metrics = metrics
         self._rng = rng
-        self._dependency = dependency.Dependency(
-            "members", const.RETRY_MOST_S, rng
-        )
+        self._dependency = dependency.Dependency("members", rng)
         self._stopped = False
 
     def start(self, now: float) -> None:
@@ -69,7 +67,8 @@
     def _on_written(self, failure: Failure | None) -> None:
         """Note where the row was perhaps not written; it is written again."""
         if failure is not None:
-            self._dependency.fail(failure, self._loop.now())
+            daemons = len(self._fleet.members)
+            self._dependency.fail(failure, self._loop.now(), daemons)
 
     def _read(self, now: float) -> None:
         """Read the rows of all daemons."""
@@ -80,7 +79,9 @@
         """Take the rows of all daemons."""
         now = self._loop.now()
         if isinstance(rows, Failure):
-            self._loop.call_at(self._dependency.fail(rows, now), self._read)
+            daemons = len(self._fleet.members)
+            when = self._dependency.fail(rows, now, daemons)
+            self._loop.call_at(when, self._read)
             return
         self._dependency.succeed(now)
         wall_time = self._loop.wall_time()
--- a/tarragonlift/components/gateway/operators.py
+++ b/tarragonlift/components/gateway/operators.py
@@ -44,9 +44,7 @@
         self._fleet = fleet
         self._metrics = metrics
         self._watch = turns
-        self._dependency = dependency.Dependency(
-            "operators", const.RETRY_MOST_S, rng
-        )
+        self._dependency = dependency.Dependency("operators", rng)
         self._document = b""
         self._reading = False
         self._waiting = False
@@ -76,9 +74,14 @@
 
     def take_notice(self, notice: news_module.OperatorNotice) -> None:
         """Take what a daemon of this data centre tells."""
-        self._watch.on_told(self._loop.now())
+        now = self._loop.now()
+        self._watch.on_told(now)
         if notice.document and self._fleet.is_behind(notice.state):
             self._take_document(notice)
+        if self._fleet.version and not self._fleet.is_behind(notice.state):
+            # Who waits has read the whole: this daemon knows the same.
+            self._is_whole_due = False
+            self._dependency.succeed(now)
         self.take_state(notice.state)
 
     def take_state(self, state: models.OperatorState) -> None:
@@ -108,7 +111,7 @@
         now = self._loop.now()
         self._reading = False
         if isinstance(news, Failure):
-            self._retry_at = self._dependency.fail(news, now)
+            self._on_failure(news, now)
             return
         self._is_whole_due = False
         self._dependency.succeed(now)
@@ -130,14 +133,19 @@
         now = self._loop.now()
         self._waiting = False
         if isinstance(news, Failure):
-            self._is_whole_due = True
-            self._retry_at = self._dependency.fail(news, now)
+            self._on_failure(news, now)
             return
         self._dependency.succeed(now)
         if self._take_news(news):
             self._tell(self._document, now)
         self.tick(now)
 
+    def _on_failure(self, failure: Failure, now: float) -> None:
+        """Read the whole again after a pause."""
+        self._is_whole_due = True
+        daemons = len(self._fleet.members)
+        self._retry_at = self._dependency.fail(failure, now, daemons)
+
     def _take_document(self, notice: news_module.OperatorNotice) -> None:
         """Take the words of operators from another daemon."""
         state = notice.state
--- a/tests/components/gateway/test_operators.py
+++ b/tests/components/gateway/test_operators.py
@@ -223,6 +223,16 @@
         bench.pass_time(WITHIN_S * 0.8)
         assert bench.store.calls == ["read", "await 5"]
 
+    def test_what_is_told_saves_the_reading_after_a_loss(self) -> None:
+        """Stop trying once a daemon that waits tells the same state."""
+        bench = Bench(False)
+        bench.pass_time(WITHIN_S * 0.8)
+        bench.answer(exceptions.PlatformUnavailable())
+        calls = list(bench.store.calls)
+        bench.take(6, 1, b"")
+        bench.pass_time(0.5)
+        assert bench.store.calls == calls
+
     def test_places_out_are_told(self) -> None:
         """Follow a data centre that goes out and comes back."""
         bench = Bench(False)
