--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -286,7 +286,7 @@
         if self.mode == "cut":
             writer.write(whole[:-3])
             return False
-        if self.mode == "no receipt":
+        if self.mode == "no signature":
             writer.write(answer(200, body, X_Request_Id=request_id))
             return True
         if self.mode == "unframed":
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -93,10 +93,10 @@
 class TestAnswers:
     """Callers get the whole answer of the server, or the truth."""
 
-    def test_answer_comes_with_receipt_and_body(
+    def test_answer_comes_with_signature_and_body(
         self, site: standin.Site
     ) -> None:
-        """Pass status, receipt and body on."""
+        """Pass status, signature and body on."""
         received = ask(site, "/look/1?x=2", "r-1")
         assert standin.status_of(received) == 200
         assert b"X-Server-Signature: s.1" in received
@@ -118,11 +118,11 @@
         assert standin.status_of(received) == 502
         assert len(runs(site)) == 1
 
-    def test_success_without_receipt_is_no_success(
+    def test_success_without_signature_is_no_success(
         self, site: standin.Site
     ) -> None:
         """Answer 502 where the success is not the server's."""
-        set_mode(site, "no receipt")
+        set_mode(site, "no signature")
         received = ask(site, "/order/1", "r-1", "POST", b"coal")
         assert standin.status_of(received) == 502
 
--- a/tests/soak/injectors.py
+++ b/tests/soak/injectors.py
@@ -15,7 +15,7 @@
 from tests.soak import proxy as proxy_module
 from tests.soak import records as records_module
 
-MODES = ("reset", "cut", "shed", "unframed", "extra", "no receipt")
+MODES = ("reset", "cut", "shed", "unframed", "extra", "no signature")
 HELD = (
     frozenset({proxy_module.UP}),
     frozenset({proxy_module.DOWN}),
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -13,7 +13,7 @@
 DRAIN_S = 2.0
 # Seconds that the stand-ins and callers may lag on a busy machine.
 LAG_S = 2.0
-# The time limit of the stand-ins' routes, and what the rules add to it.
+# The timeout of the stand-ins' routes, and what the rules add to it.
 ROUTE_S = 1.5 + 0.5
 # A daemon is bound by times if nothing harmed it for so long: the users'
 # ``contact`` in seconds.
