Tell asking from taking in what others know of operators

Cause: reading: is_behind changed what it was asked about. Change: is_behind only answers; note_unchanged takes a newer version of the store, and only from a daemon that knows exactly the same. The wait no longer carries a version that nobody used. Ruled out: nothing.

--- a/tarragonlift/components/gateway/operators.py
+++ b/tarragonlift/components/gateway/operators.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 from collections import abc
-import functools
 import math
 import random
 
@@ -78,15 +77,18 @@
         self._watch.on_told(now)
         if notice.document and self._fleet.is_behind(notice.state):
             self._take_document(notice)
+        self.take_state(notice.state)
         if self._fleet.version and not self._fleet.is_behind(notice.state):
             # Who waits has read the whole: this daemon knows the same.
             self._is_whole_due = False
             self._dependency.succeed(now)
-        self.take_state(notice.state)
 
     def take_state(self, state: models.OperatorState) -> None:
         """Read soon where another daemon knows more, unless told before."""
-        if not self._fleet.is_behind(state) or self._doubted is not None:
+        if not self._fleet.is_behind(state):
+            self._fleet.note_unchanged(state)
+            return
+        if self._doubted is not None:
             return
         self._doubted = state
         when = self._loop.now() + const.DOUBT_S
@@ -123,12 +125,9 @@
         self._waiting = True
         self._metrics.count("store_calls")
         after = self._fleet.operators.store_version
-        callback = functools.partial(self._on_awaited, after=after)
-        self._store.await_operators(after, const.WAIT_S, callback)
+        self._store.await_operators(after, const.WAIT_S, self._on_awaited)
 
-    def _on_awaited(
-        self, news: doors.OperatorNews | Failure, after: int
-    ) -> None:
+    def _on_awaited(self, news: doors.OperatorNews | Failure) -> None:
         """Take what operators wrote, and tell it."""
         now = self._loop.now()
         self._waiting = False
--- a/tarragonlift/core/fleet/fleet.py
+++ b/tarragonlift/core/fleet/fleet.py
@@ -153,18 +153,18 @@
         return models.OperatorState(self._operators_version, self.version, out)
 
     def is_behind(self, state: models.OperatorState) -> bool:
-        """Return whether a daemon that told this knows more of operators.
-
-        Who knows the same up to a newer version of the store shows that
-        nothing changed up to there.
-        """
+        """Return whether a daemon that told this knows more of operators."""
         if state.store_version <= self._operators_version:
             return False
         same_out = frozenset(state.out) == self.registry.out
-        if state.configuration > self.version or not same_out:
-            return True
-        self._operators_version = state.store_version
-        return False
+        return state.configuration > self.version or not same_out
+
+    def note_unchanged(self, state: models.OperatorState) -> None:
+        """Take that nothing changed up to where another one knows the same."""
+        known = self.operators
+        if attrs.evolve(state, store_version=known.store_version) == known:
+            newest = max(known.store_version, state.store_version)
+            self._operators_version = newest
 
     def set_members(
         self, rows: list[doors.MemberRow], wall_time: float, void_s: float
--- a/tests/core/fleet/test_registry.py
+++ b/tests/core/fleet/test_registry.py
@@ -111,9 +111,16 @@
     def test_same_knowledge_up_to_a_newer_version_counts(self) -> None:
         """Wait for changes after what another daemon saw unchanged."""
         made = common.fleet()
-        assert not made.is_behind(models.OperatorState(30, 1, ()))
+        made.note_unchanged(models.OperatorState(30, 1, ()))
         assert made.operators.store_version == 30
 
+    def test_other_knowledge_counts_for_nothing(self) -> None:
+        """Wait for changes after what was seen here, where views differ."""
+        made = common.fleet()
+        made.note_unchanged(models.OperatorState(30, 0, ()))
+        made.note_unchanged(models.OperatorState(30, 1, (common.HERE,)))
+        assert made.operators.store_version == 1
+
 
 class TestConfiguration:
     """The version in force only grows."""
