--- a/tarragonlift/cli/app.py
+++ b/tarragonlift/cli/app.py
@@ -346,14 +346,14 @@
         "force": force,
     }
     document = daemon.wait(daemon.put(f"/v1/data-centres/{name}", body))
-    force = document["in_force"]
+    in_force = document["in_force"]
     text = (
-        f"{name}: {document['state']}; in force on {force['confirmed']} of "
-        f"{force['daemons']} daemons"
+        f"{name}: {document['state']}; in force on {in_force['confirmed']} of "
+        f"{in_force['daemons']} daemons"
     )
-    if force["behind"]:
-        text += "; not yet on " + ", ".join(force["behind"])
-    if not force["in_table"]:
+    if in_force["behind"]:
+        text += "; not yet on " + ", ".join(in_force["behind"])
+    if not in_force["in_table"]:
         text += "; not yet in the platform's table"
     output.show(document, json_output, text)
 
--- a/tarragonlift/components/data_path/client.py
+++ b/tarragonlift/components/data_path/client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import abc
+from collections import abc as collections_abc
 import math
 import socket
 
@@ -97,7 +98,7 @@
         super().__init__(poller, sock, connecting=True)
         self.address = address
         self.used = False
-        self.on_idle_closed: poller_module.Callable[
+        self.on_idle_closed: collections_abc.Callable[
             [ClientConnection], None
         ] = _ignore
         self._listener: AnswerListener | None = None
--- a/tarragonlift/components/data_path/server.py
+++ b/tarragonlift/components/data_path/server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import abc
 import socket
 import time
 
@@ -56,7 +57,7 @@
         )
         self._draining: set[str] = set()
         self._stopping = False
-        self.on_claims: poller_module.Callable[[], None] = _nothing
+        self.on_claims: abc.Callable[[], None] = _nothing
 
     @property
     def in_progress(self) -> int:
--- a/tarragonlift/components/data_path/stream.py
+++ b/tarragonlift/components/data_path/stream.py
@@ -4,6 +4,7 @@
 
 import abc
 import collections
+from collections import abc as collections_abc
 import socket
 import struct
 import time
@@ -236,7 +237,7 @@
         self,
         poller: poller_module.DataPoller,
         address: models.Address,
-        on_accept: poller_module.Callable[
+        on_accept: collections_abc.Callable[
             [socket.socket, tuple[str, int]], None
         ],
     ) -> None:
--- a/tarragonlift/components/gateway/gateway.py
+++ b/tarragonlift/components/gateway/gateway.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import abc
 import socket
 import time
 
@@ -54,7 +55,7 @@
         )
         self._stopping_since: float | None = None
         self._take_until = float("inf")
-        self.on_crash: poller_module.Callable[[str], None] = _ignore
+        self.on_crash: abc.Callable[[str], None] = _ignore
 
     @property
     def stopping(self) -> bool:
