--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -8,6 +8,8 @@
 import attrs
 
 STORE = "store"
+# Spans in which the machine of the run gave its processes too little time.
+MACHINE = "machine"
 
 
 @attrs.define
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -19,6 +19,7 @@
 from tests.soak import promises
 from tests.soak import proxy as proxy_module
 from tests.soak import records as records_module
+from tests.soak import watch
 
 # Seconds between faults: fast ones overlap, slow ones leave daemons calm.
 PACES = ((0.05, 0.5), (0.2, 2.0), (1.0, 6.0))
@@ -97,6 +98,8 @@
         addresses = {one.name: one.front.address for one in daemons}
         load = callers_module.Callers(self._records, addresses)
         load.until = time.monotonic() + self._size.seconds
+        lag = watch.LagWatch(self._records)
+        self._stage.call(lag.begin)
         self._stage.call(lambda: load.begin(self._size.callers, self._seed))
         faults = injectors.Injectors(self._scene, self._rng)
         while time.monotonic() < load.until:
@@ -106,3 +109,4 @@
         self._stage.call(load.finish)
         time.sleep(RECOVER_S)
         self._stage.call(lambda: load.ask_all(FINAL_REQUESTS))
+        self._stage.call(lag.end)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -11,6 +11,7 @@
 from tests.soak import promises
 from tests.soak import records as records_module
 from tests.soak import soak
+from tests.soak import watch
 
 # Seeds that failed once stay here, each with a line on the cause.
 SEEDS_KEPT: tuple[int, ...] = ()
@@ -125,6 +126,16 @@
         self.harm("entry-1")
         assert self.check() == []
 
+    def test_late_machine_excuses_times_alone(self) -> None:
+        """Count no time bound while nothing on the machine kept up."""
+        self.sent.ended_at = 106.0
+        watch.LagWatch(self.records).note(99.0, 99.1)
+        assert any("held" in one for one in self.check())
+        watch.LagWatch(self.records).note(99.0, 99.5)
+        assert self.check() == []
+        self.run_at(1, 100.15)
+        assert self.check()
+
     def test_lost_answer_is_found(self) -> None:
         """Find a request that ran and whose connection just ended."""
         self.sent.status = 0
