--- a/tarragonlift/components/gateway/operators.py
+++ b/tarragonlift/components/gateway/operators.py
@@ -61,7 +61,7 @@
         self.tick(now)
 
     def tick(self, now: float) -> None:
-        """Read or wait where it is due; tell that this daemon waits."""
+        """Read or wait where it is due; send heartbeats while waiting."""
         if self._waiting and now - self._told_at >= self._watch.tell_every_s:
             self._tell(b"", now)
         if self._reading or now < self._retry_at:
--- a/tarragonlift/core/fleet/const.py
+++ b/tarragonlift/core/fleet/const.py
@@ -10,7 +10,7 @@
 # where all of them are harmed at once.
 WATCHERS_MOST = 3
 # Parts of the time within which operators' changes must be known: between two
-# signs of life of a daemon that waits; and of silence, until the next in
+# heartbeats of a daemon that waits; and of silence, until the next in
 # order, and the last at the latest, waits itself. What is left is for the
 # store's answer.
 WATCH_TELL_SHARE = 0.2
--- a/tests/components/gateway/test_operators.py
+++ b/tests/components/gateway/test_operators.py
@@ -144,7 +144,7 @@
         assert Bench(True).store.calls == ["read", "await 5"]
 
     def test_it_tells_that_it_waits(self) -> None:
-        """Give signs of life without a document."""
+        """Give heartbeats without a document."""
         bench = Bench(True)
         bench.pass_time(WITHIN_S)
         assert len(bench.told) >= 4
@@ -174,7 +174,7 @@
     """A daemon that relies on others."""
 
     def test_it_makes_no_call_while_it_is_told(self) -> None:
-        """Hear signs of life instead."""
+        """Hear heartbeats instead."""
         bench = Bench(False)
         for _ in range(10):
             bench.take(6, 1, b"")
@@ -190,7 +190,7 @@
         assert bench.store.calls == ["read"]
 
     def test_it_reads_what_it_missed(self) -> None:
-        """Read where a sign of life shows a newer version."""
+        """Read where a heartbeat shows a newer version."""
         bench = Bench(False)
         bench.take(7, 8, b"")
         bench.pass_time(const.DOUBT_S + 0.1)
--- a/tests/core/fleet/test_watch.py
+++ b/tests/core/fleet/test_watch.py
@@ -59,7 +59,7 @@
         assert not one.is_due(last - 0.01)
         assert one.is_due(last + 0.01)
 
-    def test_sign_of_life_is_enough(self) -> None:
+    def test_heartbeat_is_enough(self) -> None:
         """Go on relying on others that tell that they wait."""
         made = make_watches(30, common.HERE)
         for step in range(1, 6):
@@ -68,8 +68,8 @@
         due = [one for one in made if one.is_due(NOW + 5.9)]
         assert len(due) == const.WATCHERS_MOST
 
-    def test_a_sign_is_told_twice_before_the_first_doubt(self) -> None:
-        """Lose one sign of life and rely on others still."""
+    def test_heartbeats_are_told_twice_before_the_first_doubt(self) -> None:
+        """Lose one heartbeat and rely on others still."""
         one = make_watches(5, common.HERE)[0]
         assert 2 * one.tell_every_s < WITHIN_S * const.WATCH_FIRST_SHARE
 
