Share what both data paths do with callers and attempts

Cause: reading the change: the gateway wrote again what the first data path had: listening, stopping, sweeping and closing callers (a third time in the pages), an attempt on its connection, and the bytes between a caller and its servers. Change: callers.CallerSet, attempt_run.AttemptRun and relay.Relay in data_path serve all of them; a status that nobody used is gone. Ruled out: one exchange for both: what they send, keep and answer differs. Conclusion: no behaviour changes.

--- a/tarragonlift/components/data_path/client.py
+++ b/tarragonlift/components/data_path/client.py
@@ -15,7 +15,6 @@
 from tarragonlift.core import const as core_const
 from tarragonlift.core import models
 
-STATUS_CONTINUE = 100
 STATUS_OK_LEAST = 200
 STATUSES_WITHOUT_BODY = (204, 304)
 
--- a/tarragonlift/components/data_path/exchange.py
+++ b/tarragonlift/components/data_path/exchange.py
@@ -6,10 +6,12 @@
 import time
 
 from tarragonlift.components import claims as claims_module
+from tarragonlift.components.data_path import attempt_run
 from tarragonlift.components.data_path import caller
 from tarragonlift.components.data_path import client
 from tarragonlift.components.data_path import const
 from tarragonlift.components.data_path import messages
+from tarragonlift.components.data_path import relay
 from tarragonlift import const as product_const
 from tarragonlift.core import actions
 from tarragonlift.core import call as call_module
@@ -72,8 +74,8 @@
         """Forget the exchange."""
 
 
-class AttemptRun(client.AnswerListener):
-    """One attempt on its connection."""
+class AttemptRun(attempt_run.AttemptRun):
+    """One attempt whose answer is passed on while it comes."""
 
     def __init__(
         self,
@@ -82,43 +84,30 @@
         connection: client.ClientConnection,
     ) -> None:
         """Run the attempt on the connection."""
-        self.attempt = attempt
-        self.connection = connection
-        self.head: client.AnswerHead | None = None
-        self.body_sent = False
+        super().__init__(exchange, attempt, connection)
         self.relaying = False
         self.refused: Failure | None = None
         self._exchange = exchange
 
     def on_head(self, head: client.AnswerHead) -> None:
         """Take the head of the answer."""
-        self.head = head
+        super().on_head(head)
         self._exchange.on_answer_head(self, head)
 
     def on_body(self, data: bytes) -> None:
         """Take a part of the body."""
         if self.refused is None:
-            self._exchange.on_answer_body(self, data)
-
-    def on_complete(self) -> None:
-        """The answer is whole."""
-        self._exchange.on_answer_complete(self)
+            super().on_body(data)
 
     def on_failed(self, sent: bool, bad: bool) -> None:
         """The connection ended first."""
         if self.refused is not None:
             self._exchange.on_run_failed(self, self.refused)
             return
-        has_head = self.head is not None
-        failure = client.classify_failure(sent, has_head, bad)
-        self._exchange.on_run_failed(self, failure)
-
-    def on_writable(self) -> None:
-        """The backend server takes more of the body."""
-        self._exchange.on_backend_writable()
+        super().on_failed(sent, bad)
 
 
-class Exchange(caller.RequestListener, claims_module.Exchange):
+class Exchange(relay.Relay[AttemptRun], claims_module.Exchange):
     """Moves bytes between a caller and the backend servers of one call."""
 
     def __init__(
@@ -129,18 +118,12 @@
         call: call_module.Call,
     ) -> None:
         """Prepare; ``start`` begins."""
+        super().__init__(connection, head)
         self._host = host
-        self._connection: caller.CallerConnection | None = connection
-        self._head = head
         self._call = call
         request = call.request
         self._prefix = messages.request_prefix(head, request.request_id)
-        self._is_head = head.method == b"HEAD"
-        self._runs: dict[actions.Attempt, AttemptRun] = {}
-        self._body: list[bytes] = []
-        self._body_bytes = 0
         self._kept = True
-        self._answered = False
         self._recorded: list[bytes] = []
         self._recorded_bytes = 0
         self._answer_head = client.AnswerHead(0, [])
@@ -245,11 +228,6 @@
             if run.relaying:
                 run.connection.resume_reading()
 
-    def on_backend_writable(self) -> None:
-        """A backend server takes more of the request's body."""
-        if self._connection is not None:
-            self._connection.resume_reading()
-
     def on_caller_gone(self) -> None:
         """The caller closed its connection."""
         self._connection = None
@@ -342,12 +320,6 @@
         connection.begin(data, run, self._is_head)
         self._limit_kept()
 
-    def _send_body(self, run: AttemptRun, data: bytes) -> None:
-        """Send a part of the body on."""
-        run.connection.write(self._framed(data))
-        if run.connection.congested and self._connection is not None:
-            self._connection.pause_reading()
-
     def _end_body(self, run: AttemptRun) -> None:
         """Send the end of the body."""
         run.body_sent = True
@@ -413,18 +385,12 @@
         self._connection.write(messages.recorded_answer(answer, request_id))
         self._finish()
 
-    def _finish(self) -> None:
-        """Let the caller's connection go on."""
-        connection, self._connection = self._connection, None
-        if connection is not None:
-            connection.finish_answer(keep_alive=True)
-
-    def _abandon(self, attempt: actions.Attempt) -> None:
+    def _abandon(self, attempt: actions.Attempt) -> bool:
         """Close the connection of an attempt that is not wanted."""
-        run = self._runs.pop(attempt, None)
-        if run is not None:
-            run.connection.abandon()
+        had_one = super()._abandon(attempt)
+        if had_one:
             self._host.on_room(self)
+        return had_one
 
     def _drop_unfinished(self) -> None:
         """Close the connections of a request that was sent in part."""
@@ -433,11 +399,5 @@
                 run.connection.abandon()
                 run.on_failed(sent=True, bad=False)
 
-    def _cut_short(self) -> None:
-        """Reset the caller's connection: its answer can't become whole."""
-        connection, self._connection = self._connection, None
-        if connection is not None:
-            connection.abort()
-
 
 _NOT_RUN = core_const.Outcome.NOT_RUN
--- /dev/null
+++ b/tarragonlift/components/data_path/relay.py
@@ -0,0 +1,62 @@
+"""Moves bytes between a caller and the servers of its request."""
+
+from __future__ import annotations
+
+import abc
+
+from tarragonlift.components.data_path import attempt_run
+from tarragonlift.components.data_path import caller
+from tarragonlift.core import actions
+
+
+class Relay(caller.RequestListener, attempt_run.Owner[attempt_run.RunT]):
+    """What every exchange does with its connections.
+
+    Subclasses decide what is sent, answered and learned.
+    """
+
+    def __init__(
+        self, connection: caller.CallerConnection, head: caller.RequestHead
+    ) -> None:
+        """Begin with a caller, without attempts."""
+        self._connection: caller.CallerConnection | None = connection
+        self._head = head
+        self._is_head = head.method == b"HEAD"
+        self._runs: dict[actions.Attempt, attempt_run.RunT] = {}
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._answered = False
+
+    def on_server_writable(self) -> None:
+        """A server takes more of the request's body."""
+        if self._connection is not None:
+            self._connection.resume_reading()
+
+    @abc.abstractmethod
+    def _framed(self, data: bytes) -> bytes:
+        """Return a part of the body as it goes to a server."""
+
+    def _send_body(self, run: attempt_run.RunT, data: bytes) -> None:
+        """Send a part of the body on."""
+        run.connection.write(self._framed(data))
+        if run.connection.congested and self._connection is not None:
+            self._connection.pause_reading()
+
+    def _abandon(self, attempt: actions.Attempt) -> bool:
+        """Close the connection of an attempt; return whether it had one."""
+        run = self._runs.pop(attempt, None)
+        if run is not None:
+            run.connection.abandon()
+        return run is not None
+
+    def _finish(self) -> None:
+        """Let the caller's connection go on."""
+        connection, self._connection = self._connection, None
+        if connection is not None:
+            connection.finish_answer(keep_alive=True)
+
+    def _cut_short(self) -> None:
+        """Reset the caller's connection: its answer can't become whole."""
+        connection, self._connection = self._connection, None
+        if connection is not None:
+            connection.abort()
--- a/tarragonlift/components/data_path/server.py
+++ b/tarragonlift/components/data_path/server.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 from collections import abc
-import socket
 import time
 
 import xxhash
 
 from tarragonlift.components import claims as claims_module
 from tarragonlift.components.data_path import caller
+from tarragonlift.components.data_path import callers
 from tarragonlift.components.data_path import client
 from tarragonlift.components.data_path import connections
 from tarragonlift.components.data_path import const
@@ -17,7 +17,6 @@
 from tarragonlift.components.data_path import messages
 from tarragonlift.components.data_path import own_answers
 from tarragonlift.components.data_path import poller as poller_module
-from tarragonlift.components.data_path import stream
 from tarragonlift.components.metrics import recorder
 from tarragonlift import const as product_const
 from tarragonlift.core import actions
@@ -49,8 +48,7 @@
         self._balancer = balancer
         self._metrics = metrics
         self._own_pages = own_pages
-        self._listener: stream.Listener | None = None
-        self._callers: set[caller.CallerConnection] = set()
+        self._callers = callers.CallerSet(poller, self)
         self._exchanges: dict[call_module.Call, Exchange] = {}
         self._connections = connections.ConnectionPool(
             poller, self._on_server_closed
@@ -67,10 +65,7 @@
     @property
     def busy(self) -> bool:
         """Return whether any caller still waits for an answer."""
-        return bool(self._exchanges) or any(
-            connection.busy or connection.pending_bytes
-            for connection in self._callers
-        )
+        return bool(self._exchanges) or self._callers.busy
 
     @property
     def stopping(self) -> bool:
@@ -80,26 +75,20 @@
     @property
     def address(self) -> models.Address | None:
         """Return where callers connect."""
-        return self._listener.address if self._listener else None
+        return self._callers.address
 
     def listen(self, address: models.Address) -> models.Address:
         """Accept callers from now on; return the address."""
-        self._listener = stream.Listener(
-            self._poller, address, self._on_accept
-        )
+        found = self._callers.listen(address)
         now = time.monotonic()
         self._poller.timers.call_at(now + const.SWEEP_SECONDS, self._sweep)
         self._check_queues(now)
-        return self._listener.address
+        return found
 
     def stop_accepting(self) -> None:
         """Close the listener and idle callers; go on with what runs."""
         self._stopping = True
-        if self._listener is not None:
-            self._listener.close()
-        for connection in list(self._callers):
-            if connection.close_if_idle():
-                self._callers.discard(connection)
+        self._callers.stop_accepting()
 
     def set_stopping(self) -> None:
         """Ask callers to go elsewhere after their current request."""
@@ -107,10 +96,7 @@
 
     def close(self) -> None:
         """Close everything."""
-        if self._listener is not None:
-            self._listener.close()
-        for connection in list(self._callers):
-            connection.close()
+        self._callers.close()
         self._connections.close()
 
     def exchange_of(self, one: call_module.Call) -> Exchange | None:
@@ -157,7 +143,7 @@
 
     def on_closed(self, connection: caller.CallerConnection) -> None:
         """Forget a caller's connection."""
-        self._callers.discard(connection)
+        self._callers.forget(connection)
 
     def connect_to(
         self, address: models.Address
@@ -263,8 +249,7 @@
     def _sweep(self, now: float) -> None:
         """Look after timeouts."""
         self._poller.timers.call_at(now + const.SWEEP_SECONDS, self._sweep)
-        for connection in list(self._callers):
-            connection.check_timeouts(now)
+        self._callers.check_timeouts(now)
         for exchange in list(self._exchanges.values()):
             exchange.check_stalled(now)
         kept = {
@@ -277,11 +262,6 @@
         }
         self._connections.sweep(now, kept)
 
-    def _on_accept(self, sock: socket.socket, peer: tuple[str, int]) -> None:
-        """Serve a new connection."""
-        connection = caller.CallerConnection(self._poller, sock, peer[0], self)
-        self._callers.add(connection)
-
     def _on_server_closed(self, address: models.Address) -> None:
         """A backend server closed its last idle connection."""
         self._balancer.servers.on_connections_closed(address, time.time())
--- a/tarragonlift/components/gateway/exchange.py
+++ b/tarragonlift/components/gateway/exchange.py
@@ -9,6 +9,7 @@
 from tarragonlift.components.data_path import caller
 from tarragonlift.components.data_path import client
 from tarragonlift.components.data_path import messages
+from tarragonlift.components.data_path import relay
 from tarragonlift.components.gateway import attempt_run
 from tarragonlift.components.gateway import const
 from tarragonlift.components.gateway import heads
@@ -23,7 +24,7 @@
 _NOT_RUN = core_const.Outcome.NOT_RUN
 
 
-class Exchange(caller.RequestListener, attempt_run.Owner):
+class Exchange(relay.Relay[attempt_run.AttemptRun], attempt_run.Owner):
     """Moves bytes between a caller and the servers of one request."""
 
     def __init__(
@@ -34,19 +35,13 @@
         delivery: delivery_module.Delivery,
     ) -> None:
         """Wait for the request's body."""
+        super().__init__(connection, head)
         self._host = host
-        self._connection: caller.CallerConnection | None = connection
-        self._head = head
         self._delivery = delivery
         self._prefix = heads.request_prefix(head, host.dialect.own_fields)
-        self._is_head = head.method == b"HEAD"
-        self._runs: dict[actions.Attempt, attempt_run.AttemptRun] = {}
         self._answers: dict[actions.Attempt, attempt_run.AttemptRun] = {}
-        self._body: list[bytes] = []
-        self._body_bytes = 0
         self._body_complete = False
         self._started = False
-        self._answered = False
 
     @property
     def delivery(self) -> delivery_module.Delivery:
@@ -135,11 +130,6 @@
         for run in self._runs.values():
             run.connection.resume_reading()
 
-    def on_server_writable(self) -> None:
-        """A server takes more of the request's body."""
-        if self._connection is not None:
-            self._connection.resume_reading()
-
     def on_caller_gone(self) -> None:
         """The caller closed its connection."""
         self._connection = None
@@ -267,12 +257,6 @@
             self._body = []
             self._connection.resume_reading()
 
-    def _send_body(self, run: attempt_run.AttemptRun, data: bytes) -> None:
-        """Send a part of the body on."""
-        run.connection.write(self._framed(data))
-        if run.connection.congested and self._connection is not None:
-            self._connection.pause_reading()
-
     def _end_body(self, run: attempt_run.AttemptRun) -> None:
         """Send the end of the body."""
         if not run.body_sent and self._head.chunked:
@@ -396,24 +380,6 @@
             after_ms=_ms(now - received_at),
         )
 
-    def _finish(self) -> None:
-        """Let the caller's connection go on."""
-        connection, self._connection = self._connection, None
-        if connection is not None:
-            connection.finish_answer(keep_alive=True)
-
-    def _abandon(self, attempt: actions.Attempt) -> None:
-        """Close the connection of an attempt that is not wanted."""
-        run = self._runs.pop(attempt, None)
-        if run is not None:
-            run.connection.abandon()
-
-    def _cut_short(self) -> None:
-        """Reset the caller's connection: its answer can't become whole."""
-        connection, self._connection = self._connection, None
-        if connection is not None:
-            connection.abort()
-
 
 def _ms(seconds: float) -> float:
     """Return seconds as milliseconds for a log line."""
--- a/tarragonlift/components/gateway/gateway.py
+++ b/tarragonlift/components/gateway/gateway.py
@@ -3,16 +3,15 @@
 from __future__ import annotations
 
 from collections import abc
-import socket
 import time
 
 from tarragonlift.components.data_path import caller
+from tarragonlift.components.data_path import callers
 from tarragonlift.components.data_path import client
 from tarragonlift.components.data_path import connections
 from tarragonlift.components.data_path import messages
 from tarragonlift.components.data_path import own_answers
 from tarragonlift.components.data_path import poller as poller_module
-from tarragonlift.components.data_path import stream
 from tarragonlift.components.gateway import const
 from tarragonlift.components.gateway import dialect as dialect_module
 from tarragonlift.components.gateway import exchange as exchange_module
@@ -46,8 +45,7 @@
         self._poller = poller
         self._fleet = fleet
         self._metrics = metrics
-        self._listener: stream.Listener | None = None
-        self._callers: set[caller.CallerConnection] = set()
+        self._callers = callers.CallerSet(poller, self, lambda: fleet.limits)
         self._exchanges: set[Exchange] = set()
         self._pool = connections.ConnectionPool(poller, _ignore)
         self._prober = prober_module.Prober(
@@ -70,17 +68,13 @@
     @property
     def busy(self) -> bool:
         """Return whether a request or its answer is under way."""
-        return bool(self._exchanges) or any(
-            one.busy or one.pending_bytes for one in self._callers
-        )
+        return bool(self._exchanges) or self._callers.busy
 
     def listen(self, address: models.Address) -> models.Address:
         """Accept callers from now on; return the address."""
-        self._listener = stream.Listener(
-            self._poller, address, self._on_accept
-        )
+        found = self._callers.listen(address)
         self._sweep(time.monotonic())
-        return self._listener.address
+        return found
 
     def set_stopping(self, now: float) -> None:
         """Ask callers to go elsewhere; take new requests for a while."""
@@ -89,11 +83,7 @@
 
     def stop_accepting(self) -> None:
         """Close the listener and the callers that are idle."""
-        if self._listener is not None:
-            self._listener.close()
-        for connection in list(self._callers):
-            if connection.close_if_idle():
-                self._callers.discard(connection)
+        self._callers.stop_accepting()
 
     def set_probe_rate(self, rate: float) -> None:
         """Send at most this many probes a second to all servers."""
@@ -101,10 +91,7 @@
 
     def close(self) -> None:
         """Close everything."""
-        if self._listener is not None:
-            self._listener.close()
-        for connection in list(self._callers):
-            connection.close()
+        self._callers.close()
         self._pool.close()
 
     def accept(
@@ -139,7 +126,7 @@
 
     def on_closed(self, connection: caller.CallerConnection) -> None:
         """Forget a caller's connection."""
-        self._callers.discard(connection)
+        self._callers.forget(connection)
 
     def connect(
         self, attempt: actions.Attempt
@@ -289,19 +276,11 @@
     def _sweep(self, now: float) -> None:
         """Look after timeouts."""
         self._poller.call_at(now + const.SWEEP_S, self._sweep)
-        for connection in list(self._callers):
-            connection.check_timeouts(now)
+        self._callers.check_timeouts(now)
         for exchange in list(self._exchanges):
             exchange.check_left_over(now)
         self._pool.sweep(now, set())
 
-    def _on_accept(self, sock: socket.socket, peer: tuple[str, int]) -> None:
-        """Serve a new connection."""
-        connection = caller.CallerConnection(
-            self._poller, sock, peer[0], self, self._fleet.limits
-        )
-        self._callers.add(connection)
-
 
 class _Round:
     """A round of probes that a request waits for."""
--- a/tarragonlift/components/gateway/pages.py
+++ b/tarragonlift/components/gateway/pages.py
@@ -3,15 +3,14 @@
 from __future__ import annotations
 
 from collections import abc
-import socket
 
 import orjson
 
 from tarragonlift.components.data_path import caller
+from tarragonlift.components.data_path import callers
 from tarragonlift.components.data_path import messages
 from tarragonlift.components.data_path import own_answers
 from tarragonlift.components.data_path import poller as poller_module
-from tarragonlift.components.data_path import stream
 from tarragonlift.components.metrics import exposition
 from tarragonlift.components.metrics import recorder
 from tarragonlift.core import models
@@ -67,29 +66,20 @@
         self, poller: poller_module.DataPoller, page: own_answers.OwnPages
     ) -> None:
         """Prepare; ``listen`` begins."""
-        self._poller = poller
         self._page = page
-        self._listener: stream.Listener | None = None
-        self._callers: set[caller.CallerConnection] = set()
+        self._callers = callers.CallerSet(poller, self)
 
     def listen(self, address: models.Address) -> models.Address:
         """Accept from now on; return the address."""
-        self._listener = stream.Listener(
-            self._poller, address, self._on_accept
-        )
-        return self._listener.address
+        return self._callers.listen(address)
 
     def close(self) -> None:
         """Close everything."""
-        if self._listener is not None:
-            self._listener.close()
-        for connection in list(self._callers):
-            connection.close()
+        self._callers.close()
 
     def sweep(self, now: float) -> None:
         """Close connections that are idle for long."""
-        for connection in list(self._callers):
-            connection.check_timeouts(now)
+        self._callers.check_timeouts(now)
 
     def accept(
         self,
@@ -109,13 +99,7 @@
 
     def on_closed(self, connection: caller.CallerConnection) -> None:
         """Forget a connection."""
-        self._callers.discard(connection)
-
-    def _on_accept(self, sock: socket.socket, peer: tuple[str, int]) -> None:
-        """Serve a new connection."""
-        self._callers.add(
-            caller.CallerConnection(self._poller, sock, peer[0], self)
-        )
+        self._callers.forget(connection)
 
 
 def _is_at(head: caller.RequestHead, path: str) -> bool:
