Give the followers one access to the store, and one ranked place

Cause: reading the change: four constructors took and kept the same five parts, each counted its calls alike, and two duties cached a daemon's place by rendezvous in the same way; a property that nobody asked. Change: StoreAccess and RankedPlace; the wait after a reading is worked out from the place instead of being kept beside it. Ruled out: a common base class of the followers: they share parts, no steps. Figures: tests of watch, turns, operators and the whole path hold unchanged in what they assert. Conclusion: no behaviour changes.

--- a/tarragonlift/components/gateway/daemon.py
+++ b/tarragonlift/components/gateway/daemon.py
@@ -13,6 +13,7 @@
 import circuits
 
 from tarragonlift.components.data_path import poller as poller_module
+from tarragonlift.components.gateway import access
 from tarragonlift.components.gateway import const
 from tarragonlift.components.gateway import dialect as dialect_module
 from tarragonlift.components.gateway import follower
@@ -125,13 +126,10 @@
 
     def use_store(self, store: doors.FleetStore) -> None:
         """Follow this store from the start."""
-        self._follower = follower.Follower(
-            self._poller,
-            store,
-            self._fleet,
-            self._metrics,
-            self._rng,
+        store_access = access.StoreAccess(
+            self._poller, store, self._fleet, self._metrics, self._rng
         )
+        self._follower = follower.Follower(store_access)
         self._set_times(self._settings)
         self._follower.set_tellers(self._news.send, self._news.send_near)
 
--- a/tarragonlift/components/gateway/dependency.py
+++ b/tarragonlift/components/gateway/dependency.py
@@ -19,11 +19,6 @@
         self._retry_s = const.RETRY_S
         self._rng = rng
 
-    @property
-    def lost(self) -> bool:
-        """Return whether the last reading failed."""
-        return self._lost_at is not None
-
     def fail(
         self, error: exceptions.PlatformError, now: float, daemons: int
     ) -> float:
--- a/tarragonlift/components/gateway/follower.py
+++ b/tarragonlift/components/gateway/follower.py
@@ -8,19 +8,16 @@
 
 from collections import abc
 import math
-import random
 
+from tarragonlift.components.gateway import access
 from tarragonlift.components.gateway import const
 from tarragonlift.components.gateway import dependency
 from tarragonlift.components.gateway import member_rows
 from tarragonlift.components.gateway import news as news_module
 from tarragonlift.components.gateway import operators
 from tarragonlift.components import logs
-from tarragonlift.components.metrics import recorder
-from tarragonlift.core import doors as core_doors
 from tarragonlift.core.fleet import const as fleet_const
 from tarragonlift.core.fleet import doors
-from tarragonlift.core.fleet import fleet as fleet_module
 from tarragonlift.core.fleet import list_view
 from tarragonlift.core.fleet import turns
 from tarragonlift.core.fleet import watch
@@ -32,23 +29,12 @@
 class Follower:
     """Keeps a fleet in line with the store, alone or told by others."""
 
-    def __init__(
-        self,
-        loop: core_doors.Loop,
-        store: doors.FleetStore,
-        fleet: fleet_module.Fleet,
-        metrics: recorder.Recorder,
-        rng: random.Random,
-    ) -> None:
+    def __init__(self, store_access: access.StoreAccess) -> None:
         """Prepare; ``set_times`` and ``start`` begin."""
-        self._watch = watch.OperatorWatch(fleet.members)
-        self._operators = operators.OperatorFollower(
-            loop, store, fleet, metrics, self._watch, rng
-        )
-        self._servers = ServerFollower(loop, store, fleet, metrics, rng)
-        self._members = member_rows.MemberRows(
-            loop, store, fleet, metrics, rng
-        )
+        self._watch = watch.OperatorWatch(store_access.fleet.members)
+        self._operators = operators.OperatorFollower(store_access, self._watch)
+        self._servers = ServerFollower(store_access)
+        self._members = member_rows.MemberRows(store_access)
 
     def set_times(self, known_within_s: float, configured_s: float) -> None:
         """Know changes within these times from now on.
@@ -98,26 +84,19 @@
 class ServerFollower:
     """Keeps a fleet in line with the list of servers."""
 
-    def __init__(
-        self,
-        loop: core_doors.Loop,
-        store: doors.FleetStore,
-        fleet: fleet_module.Fleet,
-        metrics: recorder.Recorder,
-        rng: random.Random,
-    ) -> None:
+    def __init__(self, store_access: access.StoreAccess) -> None:
         """Prepare; the first reading is due at once."""
-        self._loop = loop
-        self._store = store
-        self._fleet = fleet
-        self._metrics = metrics
-        self._turns = turns.ReadingTurns(fleet.members)
+        self._access = store_access
+        self._loop = store_access.loop
+        self._store = store_access.store
+        self._fleet = store_access.fleet
+        self._turns = turns.ReadingTurns(self._fleet.members)
         self._longest_s = 0.0
         self._view = list_view.ListView()
         self._reading = False
         self._retry_at = -math.inf
         self._lapsed_until = -math.inf
-        self._dependency = dependency.Dependency("servers", rng)
+        self._dependency = dependency.Dependency("servers", store_access.rng)
         self.tell: abc.Callable[[list_view.ListNews], None] = _ignore
 
     def set_known_within(self, seconds: float) -> None:
@@ -146,7 +125,7 @@
     def _read(self) -> None:
         """Read the list of servers."""
         self._reading = True
-        self._metrics.count("store_calls")
+        self._access.count_call()
         timeout = self._longest_s * const.LIST_TIMEOUT_SHARE
         self._store.read_servers(timeout, self._on_read)
 
--- a/tarragonlift/components/gateway/member_rows.py
+++ b/tarragonlift/components/gateway/member_rows.py
@@ -2,15 +2,11 @@
 
 from __future__ import annotations
 
-import random
-
+from tarragonlift.components.gateway import access
 from tarragonlift.components.gateway import const
 from tarragonlift.components.gateway import dependency
 from tarragonlift.components import logs
-from tarragonlift.components.metrics import recorder
-from tarragonlift.core import doors as core_doors
 from tarragonlift.core.fleet import doors
-from tarragonlift.core.fleet import fleet as fleet_module
 from tarragonlift.core.fleet import members as members_module
 from tarragonlift import exceptions
 
@@ -20,21 +16,14 @@
 class MemberRows:
     """Keeps a fleet's members in line with the store."""
 
-    def __init__(
-        self,
-        loop: core_doors.Loop,
-        store: doors.FleetStore,
-        fleet: fleet_module.Fleet,
-        metrics: recorder.Recorder,
-        rng: random.Random,
-    ) -> None:
+    def __init__(self, store_access: access.StoreAccess) -> None:
         """Prepare; ``start`` begins."""
-        self._loop = loop
-        self._store = store
-        self._fleet = fleet
-        self._metrics = metrics
-        self._rng = rng
-        self._dependency = dependency.Dependency("members", rng)
+        self._access = store_access
+        self._loop = store_access.loop
+        self._store = store_access.store
+        self._fleet = store_access.fleet
+        self._rng = store_access.rng
+        self._dependency = dependency.Dependency("members", self._rng)
         self._stopped = False
 
     def start(self, now: float) -> None:
@@ -59,7 +48,7 @@
             return
         when = now + const.MEMBERS_S * (0.9 + 0.2 * self._rng.random())
         self._loop.call_at(when, self._write)
-        self._metrics.count("store_calls")
+        self._access.count_call()
         row = doors.MemberRow(self._fleet.members.own, self._loop.wall_time())
         self._store.write_member(row, self._on_written)
         self._loop.call_at(when + 1.0, self._read)
@@ -72,7 +61,7 @@
 
     def _read(self, now: float) -> None:
         """Read the rows of all daemons."""
-        self._metrics.count("store_calls")
+        self._access.count_call()
         self._store.read_members(self._on_read)
 
     def _on_read(self, rows: list[doors.MemberRow] | Failure) -> None:
--- a/tarragonlift/components/gateway/operators.py
+++ b/tarragonlift/components/gateway/operators.py
@@ -8,16 +8,13 @@
 
 from collections import abc
 import math
-import random
 
+from tarragonlift.components.gateway import access
 from tarragonlift.components.gateway import const
 from tarragonlift.components.gateway import dependency
 from tarragonlift.components.gateway import news as news_module
 from tarragonlift.components import logs
-from tarragonlift.components.metrics import recorder
-from tarragonlift.core import doors as core_doors
 from tarragonlift.core.fleet import doors
-from tarragonlift.core.fleet import fleet as fleet_module
 from tarragonlift.core.fleet import models
 from tarragonlift.core.fleet import watch
 from tarragonlift import exceptions
@@ -30,20 +27,16 @@
 
     def __init__(
         self,
-        loop: core_doors.Loop,
-        store: doors.FleetStore,
-        fleet: fleet_module.Fleet,
-        metrics: recorder.Recorder,
+        store_access: access.StoreAccess,
         turns: watch.OperatorWatch,
-        rng: random.Random,
     ) -> None:
         """Wait for changes where it is this daemon's turn."""
-        self._loop = loop
-        self._store = store
-        self._fleet = fleet
-        self._metrics = metrics
+        self._access = store_access
+        self._loop = store_access.loop
+        self._store = store_access.store
+        self._fleet = store_access.fleet
         self._watch = turns
-        self._dependency = dependency.Dependency("operators", rng)
+        self._dependency = dependency.Dependency("operators", store_access.rng)
         self._document = b""
         self._reading = False
         self._waiting = False
@@ -105,7 +98,7 @@
     def _read(self) -> None:
         """Read all that operators wrote."""
         self._reading = True
-        self._metrics.count("store_calls")
+        self._access.count_call()
         self._store.read_operators(self._on_read)
 
     def _on_read(self, news: doors.OperatorNews | Failure) -> None:
@@ -123,7 +116,7 @@
     def _await(self) -> None:
         """Wait for what operators write next."""
         self._waiting = True
-        self._metrics.count("store_calls")
+        self._access.count_call()
         after = self._fleet.operators.store_version
         self._store.await_operators(after, const.WAIT_S, self._on_awaited)
 
--- a/tarragonlift/core/fleet/turns.py
+++ b/tarragonlift/core/fleet/turns.py
@@ -11,7 +11,7 @@
 
 from tarragonlift.core.fleet import const
 from tarragonlift.core.fleet import members as members_module
-from tarragonlift.core import rendezvous
+from tarragonlift.core.fleet import places
 
 KEY_LIST = "server-list"
 
@@ -24,13 +24,11 @@
         self._members = members
         self._longest_s = 0.0
         self._known_at = -math.inf
-        self._ranked: tuple[str, ...] = ()
-        self._wait_s = 0.0
+        self._place = places.RankedPlace(KEY_LIST, members.own.daemon)
 
     def set_longest(self, seconds: float) -> None:
         """Let the list never get older than this, in seconds."""
         self._longest_s = seconds
-        self._ranked = ()
 
     @property
     def known_at(self) -> float:
@@ -49,12 +47,6 @@
     def _wait(self) -> float:
         """Return how long this daemon waits after a reading."""
         names = self._members.names
-        if names != self._ranked:
-            self._ranked = names
-            hashed = rendezvous.hash_members(names)
-            order = rendezvous.rank(KEY_LIST, hashed, len(names))
-            place = order.index(self._members.own.daemon) / len(names)
-            first = const.FIRST_READER_SHARE
-            share = first + (1.0 - first) * place
-            self._wait_s = self._longest_s * share
-        return self._wait_s
+        place = self._place.among(names) / len(names)
+        first = const.FIRST_READER_SHARE
+        return self._longest_s * (first + (1.0 - first) * place)
--- a/tarragonlift/core/fleet/watch.py
+++ b/tarragonlift/core/fleet/watch.py
@@ -11,7 +11,7 @@
 
 from tarragonlift.core.fleet import const
 from tarragonlift.core.fleet import members as members_module
-from tarragonlift.core import rendezvous
+from tarragonlift.core.fleet import places
 
 KEY_OPERATORS = "operators"
 
@@ -24,8 +24,7 @@
         self._members = members
         self._within_s = 0.0
         self._told_at = -math.inf
-        self._ranked: tuple[str, ...] = ()
-        self._place = 0
+        self._place = places.RankedPlace(KEY_OPERATORS, members.own.daemon)
 
     @property
     def tell_every_s(self) -> float:
@@ -44,20 +43,10 @@
         """Return whether this daemon has to wait for changes itself."""
         share = const.WATCH_LAST_SHARE
         if self._members.known:
-            self._rank()
-            if self._place < const.WATCHERS_MOST:
+            names = self._members.near_names
+            place = self._place.among(names)
+            if place < const.WATCHERS_MOST:
                 return True
             first = const.WATCH_FIRST_SHARE
-            place = self._place / len(self._ranked)
-            share = first + (share - first) * place
+            share = first + (share - first) * place / len(names)
         return now - self._told_at > self._within_s * share
-
-    def _rank(self) -> None:
-        """Find this daemon's place among those of its data centre."""
-        names = self._members.near_names
-        if names == self._ranked:
-            return
-        self._ranked = names
-        hashed = rendezvous.hash_members(names)
-        order = rendezvous.rank(KEY_OPERATORS, hashed, len(names))
-        self._place = order.index(self._members.own.daemon)
--- a/tests/components/gateway/test_operators.py
+++ b/tests/components/gateway/test_operators.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from tarragonlift.components.gateway import access
 from tarragonlift.components.gateway import const
 from tarragonlift.components.gateway import news
 from tarragonlift.components.gateway import operators
@@ -103,14 +104,14 @@
             if turns.is_due(common.NOW) == waits:
                 break
         self.told: list[news.OperatorNotice] = []
-        self.follower = operators.OperatorFollower(
+        store_access = access.StoreAccess(
             self.loop,
             self.store,
             self.fleet,
             metrics.create_recorder(None),
-            turns,
             random.Random(1),
         )
+        self.follower = operators.OperatorFollower(store_access, turns)
         self.follower.tell = self.told.append
         self.follower.start(common.NOW)
         self.answer(doors.OperatorNews(5, None, {}, complete=True))
