Keep when to hedge in a module of its own

Cause: reading the change: delivery.py held three fields and three methods on hedges beside the life of a request, a limit without a name, and the same four lines to look for a server anew in three places. Change: hedging.HedgePlan, HEDGE_LOOKS_MOST and _begin_seeking. Ruled out: moving verdicts out as well: they are the life of the request.

--- a/tarragonlift/core/fleet/const.py
+++ b/tarragonlift/core/fleet/const.py
@@ -84,6 +84,9 @@
 # Share of the whole time after which an unanswered idempotent request is
 # sent once more although it will be late.
 HEDGE_LATE_SHARE = 0.5
+# Looks for a second server of one request: one in time for the target
+# latency, two so that the request is answered at all.
+HEDGE_LOOKS_MOST = 3
 
 # Crashes in all after which a request is held back.
 CRASHES_MOST = 3
--- a/tarragonlift/core/fleet/delivery.py
+++ b/tarragonlift/core/fleet/delivery.py
@@ -17,6 +17,7 @@
 from tarragonlift.core.fleet import chooser as chooser_module
 from tarragonlift.core.fleet import const
 from tarragonlift.core.fleet import crashes
+from tarragonlift.core.fleet import hedging
 from tarragonlift.core.fleet import models
 from tarragonlift.core.fleet import registry as registry_module
 from tarragonlift.core.fleet import server as server_module
@@ -92,8 +93,8 @@
         self._held = False
         self._seeking_since = 0.0
         self._hedging = False
-        self._hedge_at = math.inf
-        self._hedges = 0
+        times = context.chooser.service_times
+        self._hedge = hedging.HedgePlan(request, times)
         self._last_choice: chooser_module.Choice | None = None
         self.body_bytes = 0
         self.fingerprint = ""
@@ -124,10 +125,8 @@
         self._budget.earn()
         if self._is_held(now):
             return self._refuse(exceptions.CrashSuspected(Outcome.NOT_RUN))
-        self._phase = Phase.CHOOSING
-        self._seeking_since = now
         wake = actions.WakeAt(self._request.final_at)
-        return [wake, *self._seek(now)]
+        return [wake, *self._begin_seeking(now)]
 
     def on_reports(self, now: float) -> Actions:
         """Go on: the servers that were asked answered, or took too long."""
@@ -146,7 +145,7 @@
             return []
         if now >= self._request.final_at:
             return self._expire(now)
-        if self._phase is Phase.SENT and now >= self._hedge_at:
+        if self._phase is Phase.SENT and now >= self._hedge.at:
             return self._begin_hedge(now)
         return []
 
@@ -227,6 +226,13 @@
         """Return the extra calls that the request's service allows."""
         return self._context.budgets[self._request.service]
 
+    def _begin_seeking(self, now: float) -> Actions:
+        """Look for a server anew."""
+        self._phase = Phase.CHOOSING
+        self._rounds = 0
+        self._seeking_since = now
+        return self._seek(now)
+
     def _seek(self, now: float) -> Actions:
         """Send to a server, ask servers first, wait for room or refuse."""
         choice = self._choose(now)
@@ -299,33 +305,13 @@
         self._phase = Phase.SENT
         self._rounds = 0
         result: Actions = [actions.Send(attempt)]
-        if self._request.route.idempotent:
-            self._hedge_at = self._next_hedge_at(now)
-            if self._hedge_at < self._request.final_at:
-                result.append(actions.WakeAt(self._hedge_at))
+        if self._request.route.idempotent and self._hedge.plan(now):
+            result.append(actions.WakeAt(self._hedge.at))
         return result
 
-    def _next_hedge_at(self, now: float) -> float:
-        """Return when a second sending is worth its cost.
-
-        First so early that it can still be in time, then at a part of the
-        whole time, so that the request is answered at all.
-        """
-        request = self._request
-        times = self._context.chooser.service_times
-        usual = times.get(request.route)
-        in_time = request.aim_at - const.HEDGE_SERVICE_TIMES * usual
-        in_time = max(in_time, now + usual)
-        if self._hedges == 0 and in_time + usual <= request.aim_at:
-            return in_time
-        whole = request.final_at - request.received_at
-        late = request.received_at + const.HEDGE_LATE_SHARE * whole
-        return max(late, now + 2 * usual)
-
     def _begin_hedge(self, now: float) -> Actions:
         """Look for a second server: the first answer is late."""
-        self._hedge_at = math.inf
-        self._hedges += 1
+        self._hedge.begin()
         if not self._may_repeat(now):
             return []
         self._hedging = True
@@ -343,26 +329,15 @@
         self._hedging = False
         if choice is None or not choice.server.is_fresh(now):
             return self._plan_late_hedge(now)
-        if not self._is_worth(choice, now) or not self._budget.spend():
+        if not self._hedge.is_worth(choice, now) or not self._budget.spend():
             return self._plan_late_hedge(now)
         return self._send(choice, now)
 
     def _plan_late_hedge(self, now: float) -> Actions:
         """Look again when the request is about to stay unanswered."""
-        self._hedge_at = self._next_hedge_at(now)
-        if self._hedge_at >= self._request.final_at or self._hedges > 2:
-            self._hedge_at = math.inf
+        if not self._hedge.plan_again(now):
             return []
-        return [actions.WakeAt(self._hedge_at)]
-
-    def _is_worth(self, choice: chooser_module.Choice, now: float) -> bool:
-        """Return whether a free server will answer in time at all."""
-        if not choice.server.has_free_slot:
-            return False
-        ends_at = now + choice.expected_s
-        if self._hedges <= 1:
-            return ends_at <= self._request.aim_at
-        return ends_at <= self._request.final_at
+        return [actions.WakeAt(self._hedge.at)]
 
     def _may_repeat(self, now: float) -> bool:
         """Return whether the request may reach one more server."""
@@ -381,10 +356,7 @@
         may = self.replayable and not self._is_held(now)
         most = self._request.route.attempts_most + 1
         if may and self._sent < most and self._budget.spend():
-            self._phase = Phase.CHOOSING
-            self._rounds = 0
-            self._seeking_since = now
-            return self._seek(now)
+            return self._begin_seeking(now)
         return self._give_up(exceptions.NoBackendServer(Outcome.NOT_RUN))
 
     def _after_failure(self, now: float) -> Actions:
@@ -392,10 +364,7 @@
         if self._attempts:
             return []
         if self._may_repeat(now) and self._budget.spend():
-            self._phase = Phase.CHOOSING
-            self._rounds = 0
-            self._seeking_since = now
-            return self._seek(now)
+            return self._begin_seeking(now)
         return self._refuse(exceptions.BackendFailed(Outcome.UNKNOWN))
 
     def _expire(self, now: float) -> Actions:
