Write kept header fields in one place

Cause: reading the change: the loop that passes header fields on stood five times, two of them added by the gateway. Change: messages.field_lines. Ruled out: one head function for both daemons: they drop and add other fields. Figures: tests/components and tests/platform hold. Conclusion: no behaviour changes.

--- a/tarragonlift/components/data_path/messages.py
+++ b/tarragonlift/components/data_path/messages.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import abc
 import http
 
 import orjson
@@ -60,9 +61,7 @@
     """Return the head for a backend server, without deadline and end."""
     dropped = dropped_fields(NOT_FORWARDED, head.fields.get(b"connection"))
     parts = [b"%b %b HTTP/1.1\r\n" % (head.method, head.target)]
-    for name, value in head.headers:
-        if name.lower() not in dropped:
-            parts.append(b"%b: %b\r\n" % (name, value))
+    parts += field_lines(head.headers, dropped)
     known = head.fields.get(b"x-forwarded-for")
     peer = head.peer.encode()
     forwarded = b"%b, %b" % (known, peer) if known else peer
@@ -87,9 +86,7 @@
     """Return the head of a backend server's answer for the caller."""
     dropped = dropped_fields(NOT_RELAYED, head.get(b"connection"))
     parts = [status_line(head.status)]
-    for name, value in head.headers:
-        if name.lower() not in dropped:
-            parts.append(b"%b: %b\r\n" % (name, value))
+    parts += field_lines(head.headers, dropped)
     if head.chunked:
         parts.append(b"Transfer-Encoding: chunked\r\n")
     elif head.content_length is not None:
@@ -107,9 +104,7 @@
     """Return an answer that was kept, as a whole."""
     body = answer.body or b""
     parts = [status_line(answer.status)]
-    for name, value in answer.headers:
-        if name.lower() not in NOT_RELAYED:
-            parts.append(b"%b: %b\r\n" % (name, value))
+    parts += field_lines(answer.headers, NOT_RELAYED)
     parts.append(
         b"Content-Length: %d\r\n%b: ran\r\n%b: true\r\n%b: %b\r\n\r\n"
         % (
@@ -165,6 +160,17 @@
     return b"HTTP/1.1 %d %b\r\n" % (status, _REASONS.get(status, b"Status"))
 
 
+def field_lines(
+    headers: abc.Iterable[tuple[bytes, bytes]], dropped: frozenset[bytes]
+) -> list[bytes]:
+    """Return the lines of the fields that are not dropped."""
+    return [
+        b"%b: %b\r\n" % (name, value)
+        for name, value in headers
+        if name.lower() not in dropped
+    ]
+
+
 def dropped_fields(
     base: frozenset[bytes], connection: bytes | None
 ) -> frozenset[bytes]:
--- a/tarragonlift/components/gateway/heads.py
+++ b/tarragonlift/components/gateway/heads.py
@@ -17,9 +17,7 @@
     base = messages.HOP_BY_HOP | _FRAMING | own_fields
     dropped = messages.dropped_fields(base, head.fields.get(b"connection"))
     parts = [b"%b %b HTTP/1.1\r\n" % (head.method, head.target)]
-    for name, value in head.headers:
-        if name.lower() not in dropped:
-            parts.append(b"%b: %b\r\n" % (name, value))
+    parts += messages.field_lines(head.headers, dropped)
     return b"".join(parts)
 
 
@@ -48,9 +46,7 @@
     base = messages.HOP_BY_HOP | _FRAMING
     dropped = messages.dropped_fields(base, head.get(b"connection"))
     parts = [messages.status_line(head.status)]
-    for name, value in head.headers:
-        if name.lower() not in dropped:
-            parts.append(b"%b: %b\r\n" % (name, value))
+    parts += messages.field_lines(head.headers, dropped)
     if is_head or length is None:
         stated = head.content_length
     else:
