Release connections in the shared relay

Cause: both exchanges decided alike whether a connection may be used again. Change: Relay._release. Ruled out: sharing how actions are carried out: the first daemon knows more of them, and the chain of cases reads better where it is. Conclusion: no behaviour changes.

--- a/tarragonlift/components/data_path/exchange.py
+++ b/tarragonlift/components/data_path/exchange.py
@@ -118,7 +118,7 @@
         call: call_module.Call,
     ) -> None:
         """Prepare; ``start`` begins."""
-        super().__init__(connection, head)
+        super().__init__(connection, head, host.give_back)
         self._host = host
         self._call = call
         request = call.request
@@ -264,11 +264,7 @@
     def on_answer_complete(self, run: AttemptRun) -> None:
         """Take the end of an answer."""
         del self._runs[run.attempt]
-        run.connection.resume_reading()
-        if run.body_sent:
-            self._host.give_back(run.connection)
-        else:
-            run.connection.abandon()
+        self._release(run)
         if run.refused is not None:
             self._failed(run, run.refused)
             return
--- a/tarragonlift/components/data_path/relay.py
+++ b/tarragonlift/components/data_path/relay.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import abc
+from collections import abc as collections_abc
 
 from tarragonlift.components.data_path import attempt_run
 from tarragonlift.components.data_path import caller
+from tarragonlift.components.data_path import client
 from tarragonlift.core import actions
 
 
@@ -16,9 +18,16 @@
     """
 
     def __init__(
-        self, connection: caller.CallerConnection, head: caller.RequestHead
+        self,
+        connection: caller.CallerConnection,
+        head: caller.RequestHead,
+        give_back: collections_abc.Callable[[client.ClientConnection], None],
     ) -> None:
-        """Begin with a caller, without attempts."""
+        """Begin with a caller, without attempts.
+
+        ``give_back`` keeps or closes a connection whose answer was whole.
+        """
+        self._give_back = give_back
         self._connection: caller.CallerConnection | None = connection
         self._head = head
         self._is_head = head.method == b"HEAD"
@@ -42,6 +51,14 @@
         if run.connection.congested and self._connection is not None:
             self._connection.pause_reading()
 
+    def _release(self, run: attempt_run.RunT) -> None:
+        """Keep the connection where nothing of the request is left."""
+        run.connection.resume_reading()
+        if run.body_sent:
+            self._give_back(run.connection)
+        else:
+            run.connection.abandon()
+
     def _abandon(self, attempt: actions.Attempt) -> bool:
         """Close the connection of an attempt; return whether it had one."""
         run = self._runs.pop(attempt, None)
--- a/tarragonlift/components/gateway/exchange.py
+++ b/tarragonlift/components/gateway/exchange.py
@@ -35,7 +35,7 @@
         delivery: delivery_module.Delivery,
     ) -> None:
         """Wait for the request's body."""
-        super().__init__(connection, head)
+        super().__init__(connection, head, host.give_back)
         self._host = host
         self._delivery = delivery
         self._prefix = heads.request_prefix(head, host.dialect.own_fields)
@@ -269,14 +269,6 @@
             return messages.chunk(data)
         return data
 
-    def _release(self, run: attempt_run.AttemptRun) -> None:
-        """Keep the connection where nothing of the request is left."""
-        run.connection.resume_reading()
-        if run.body_sent:
-            self._host.give_back(run.connection)
-        else:
-            run.connection.abandon()
-
     def _relay(self, attempt: actions.Attempt) -> None:
         """Pass a whole answer on."""
         run = self._answers.pop(attempt)
