Let the soak's callers use the lab's HTTP client

Cause: reading the change: the soak parsed answers and chunks by hand beside tarragonlift_lab.http, which reads them with httptools; the lab's client would wait for ever on a connection that was lost before a request. Change: callers use ClientProtocol; it answers at once where the connection is lost and counts successes that come while no request waits, which the soak checks, with a planted one. Before, such bytes were read as the next answer. Ruled out: the stand-ins' servers on the lab's: they send what a parser would never write (cut, unframed and extra answers, slow parts).

--- a/tarragonlift_lab/http.py
+++ b/tarragonlift_lab/http.py
@@ -208,7 +208,8 @@
         self._waiter: asyncio.Future[Answer] | None = None
         self._keep = True
         self.lost = False
-        self.head_at = 0.0
+        # Successes that came while no request waited.
+        self.unasked = 0
 
     def connection_made(self, transport: Any) -> None:
         """Keep the connection."""
@@ -231,6 +232,8 @@
     ) -> Answer:
         """Send a request and return its answer."""
         self._answer = Answer()
+        if self.lost:
+            return self._answer
         self._keep = True
         loop = asyncio.get_running_loop()
         self._waiter = loop.create_future()
@@ -265,6 +268,8 @@
     def on_headers_complete(self) -> None:
         """Take the status."""
         self._answer.status = self._parser.get_status_code()
+        if self._waiter is None and 200 <= self._answer.status < 300:
+            self.unasked += 1
 
     def on_body(self, data: bytes) -> None:
         """Take a part of the body."""
@@ -329,15 +334,18 @@
             protocol = idle.pop()
             if protocol.usable:
                 return protocol
-        host, _, port = address.rpartition(":")
-        loop = asyncio.get_running_loop()
         try:
-            _, protocol = await loop.create_connection(
-                ClientProtocol, host, int(port)
-            )
+            return await connect(address)
         except OSError:
             return None
-        return protocol
+
+
+async def connect(address: str) -> ClientProtocol:
+    """Return a new connection, or raise OSError."""
+    host, _, port = address.rpartition(":")
+    loop = asyncio.get_running_loop()
+    _, protocol = await loop.create_connection(ClientProtocol, host, int(port))
+    return protocol
 
 
 def encode_request(
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -6,6 +6,7 @@
 import random
 import time
 
+from tarragonlift_lab import http
 from tests.soak import records as records_module
 
 # How long a caller waits for an answer, in seconds: beyond what the checks
@@ -14,9 +15,10 @@
 CLOSE_SHARE = 0.1
 PAUSE_MOST_S = 0.05
 BODY = b"x" * 2000
+# The time that a caller says it has, in milliseconds: beyond the routes'.
+LEFT_MS = 2000
 
 Sent = records_module.Sent
-Streams = tuple[asyncio.StreamReader, asyncio.StreamWriter]
 
 
 class Callers:
@@ -50,48 +52,56 @@
             for _ in range(count):
                 sent = self._new_request(rng, name)
                 sent.final = True
-                streams = await self._ask(None, sent)
-                if streams is not None:
-                    streams[1].close()
+                connection = await self._ask(None, sent)
+                if connection is not None:
+                    self._leave(connection, name)
 
     async def _call_on(self, rng: random.Random) -> None:
         """Send one request after the other, on kept connections."""
-        streams: Streams | None = None
+        connection: http.ClientProtocol | None = None
         name = ""
         while time.monotonic() < self.until:
-            if streams is None:
+            if connection is None:
                 name = rng.choice(list(self._addresses))
             sent = self._new_request(rng, name)
-            streams = await self._ask(streams, sent)
-            if streams is not None and rng.random() < CLOSE_SHARE:
-                streams[1].close()
-                streams = None
+            connection = await self._ask(connection, sent)
+            if connection is not None and rng.random() < CLOSE_SHARE:
+                self._leave(connection, name)
+                connection = None
             await asyncio.sleep(rng.uniform(0.0, PAUSE_MOST_S))
-        if streams is not None:
-            streams[1].close()
+        if connection is not None:
+            self._leave(connection, name)
 
     async def _ask(
-        self, streams: Streams | None, sent: Sent
-    ) -> Streams | None:
+        self, connection: http.ClientProtocol | None, sent: Sent
+    ) -> http.ClientProtocol | None:
         """Send a request; return the connection if it can be used again."""
         try:
             async with asyncio.timeout(PATIENCE_S):
-                if streams is None:
+                if connection is None:
                     address = self._addresses[sent.daemon]
-                    host, _, port = address.rpartition(":")
-                    streams = await asyncio.open_connection(host, int(port))
-                keeps = await exchange(streams, sent)
-        except (OSError, EOFError, TimeoutError) as error:
-            if not isinstance(error, TimeoutError):
-                sent.ended_at = time.monotonic()
-            if streams is not None:
-                streams[1].close()
+                    connection = await http.connect(address)
+                await exchange(connection, sent)
+        except TimeoutError:
+            # The caller gives up: no end of the request was seen.
+            pass
+        except OSError:
+            sent.ended_at = time.monotonic()
+        else:
+            sent.ended_at = time.monotonic()
+        if connection is None:
             return None
-        sent.ended_at = time.monotonic()
-        if not keeps:
-            streams[1].close()
-            return None
-        return streams
+        if sent.status and connection.usable:
+            return connection
+        self._leave(connection, sent.daemon)
+        return None
+
+    def _leave(self, connection: http.ClientProtocol, name: str) -> None:
+        """Close a connection; keep what came on it unasked."""
+        connection.close()
+        if connection.unasked:
+            text = f"{name} sent {connection.unasked} successes unasked"
+            self._records.unasked.append(text)
 
     def _new_request(self, rng: random.Random, daemon: str) -> Sent:
         """Return the next request."""
@@ -108,39 +118,20 @@
         return sent
 
 
-async def exchange(streams: Streams, sent: Sent) -> bool:
-    """Send a request, read its answer; return whether more may follow."""
-    reader, writer = streams
+async def exchange(connection: http.ClientProtocol, sent: Sent) -> None:
+    """Send a request and keep what comes of its answer."""
     body = b"" if sent.idempotent else BODY
     method = "GET" if sent.idempotent else "POST"
-    head = (
-        f"{method} {sent.path} HTTP/1.1\r\nHost: shop.example\r\n"
-        f"X-Request-Id: {sent.request_id}\r\nX-Request-Deadline: 2000\r\n"
-        f"Content-Length: {len(body)}\r\n\r\n"
+    headers = {
+        "X-Request-Id": sent.request_id,
+        "X-Request-Deadline": str(LEFT_MS),
+    }
+    data = http.encode_request(
+        method, sent.path, "shop.example", headers, body
     )
-    writer.write(head.encode() + body)
-    await writer.drain()
     sent.written = True
-    first = await reader.readexactly(1)
-    sent.answered = True
-    text = (first + await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
-    fields = {}
-    for line in text.rstrip("\r\n").split("\r\n")[1:]:
-        name, _, value = line.partition(":")
-        fields[name.lower()] = value.strip()
-    if "content-length" in fields:
-        sent.body = await reader.readexactly(int(fields["content-length"]))
-    else:
-        sent.body = await read_chunks(reader)
-    sent.status = int(text.split(" ")[1])
-    return fields.get("connection", "").lower() != "close"
-
-
-async def read_chunks(reader: asyncio.StreamReader) -> bytes:
-    """Return the body of an answer whose length was not known at first."""
-    body = b""
-    while length := int(await reader.readline(), 16):
-        body += await reader.readexactly(length)
-        await reader.readline()
-    await reader.readline()
-    return body
+    answer = await connection.request(data)
+    sent.answered = bool(answer.status)
+    if answer.whole:
+        sent.status = answer.status
+        sent.body = answer.body
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -43,7 +43,8 @@
 
     def check(self) -> list[str]:
         """Return every promise that fell, with the request."""
-        fell = [*self._records.outlived, *self._check_unasked()]
+        fell = [*self._records.outlived, *self._records.unasked]
+        fell.extend(self._check_unasked())
         for sent in self._records.sent:
             fell.extend(self._check_one(sent))
         fell.extend(self._check_served())
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -52,6 +52,8 @@
     left_at: dict[str, float] = attrs.field(factory=dict)
     # Daemons that still ran long after they were asked to stop.
     outlived: list[str] = attrs.field(factory=list)
+    # Successes that came on a connection with no request waiting.
+    unasked: list[str] = attrs.field(factory=list)
 
     def begin_harm(self, subject: str) -> Harm:
         """Note that a harm begins now; it lasts until it is ended."""
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -7,7 +7,9 @@
 
 import pytest
 
+from tarragonlift_lab import http
 from tests.platform import standin
+from tests.soak import callers as callers_module
 from tests.soak import promises
 from tests.soak import records as records_module
 from tests.soak import soak
@@ -149,6 +151,16 @@
         self.records.outlived.append("entry-1 ran on")
         assert self.check()
 
+    def test_unasked_success_is_found(self) -> None:
+        """Find an answer that came while no request waited."""
+        connection = http.ClientProtocol()
+        connection.data_received(
+            b"HTTP/1.1 200 S\r\nContent-Length: 0\r\n\r\n"
+        )
+        callers = callers_module.Callers(self.records, {})
+        callers._leave(connection, "entry-1")
+        assert any("unasked" in one for one in self.check())
+
     def test_no_service_is_found(self) -> None:
         """Find that nobody was served after all faults."""
         self.sent.status = 502
