--- a/review/2/case.py
+++ b/review/2/case.py
@@ -94,7 +94,10 @@
     load.cancel()
     await asyncio.sleep(0.1)
     lost = sum(1 for status in results.values() if status in (0, 502))
-    text = f"{late_total} late requests; {lost} of {len(results)} answered 502 or cut"
+    text = (
+        f"{late_total} late requests; "
+        f"{lost} of {len(results)} answered 502 or cut"
+    )
     stage.record.write(text)
     print(text)
     return late_total > 0
@@ -120,8 +123,7 @@
     method, path = (
         ("POST", "/order/a") if number % 3 == 0 else ("GET", "/check/a")
     )
-    upcoming = f"r{stage._requests + 1:06d}"
-    sent[upcoming] = daemon
+    sent[stage.upcoming_id] = daemon
     request_id, status, _ = await stage_module.send_request(
         stage, daemon, path, method, deadline_ms=2500
     )
--- a/review/stage.py
+++ b/review/stage.py
@@ -442,6 +442,10 @@
         self.address = ""
         # Called with path and table of each call that passes.
         self.on_call = lambda path, table: None
+        # While this is True the store does not answer the daemon. A connection
+        # on which a call arrives or an answer is due then delivers nothing
+        # further.
+        self.is_turned_away = False
         self._open = asyncio.Event()
         self._open.set()
         self._listener: asyncio.Server | None = None
@@ -468,18 +472,23 @@
         except OSError:
             reset(writer)
             return
+        mute = asyncio.Event()
         await asyncio.gather(
-            self._pass_on(reader, to_store[1], is_call=True),
-            self._pass_on(to_store[0], writer),
+            self._pass_on(reader, to_store[1], mute, is_call=True),
+            self._pass_on(to_store[0], writer, mute),
             return_exceptions=True,
         )
 
-    async def _pass_on(self, reader, writer, is_call=False) -> None:
+    async def _pass_on(self, reader, writer, mute, is_call=False) -> None:
         try:
             while data := await reader.read(65536):
                 if is_call:
                     self._report(data)
                 await self._open.wait()
+                if self.is_turned_away:
+                    mute.set()
+                if mute.is_set():
+                    continue
                 writer.write(data)
                 await writer.drain()
         except OSError:
@@ -658,6 +667,11 @@
             await asyncio.sleep(0.1)
             waiting = [d for d in waiting if not await is_ready(d)]
 
+    @property
+    def upcoming_id(self) -> str:
+        """Return the identifier that the next request gets."""
+        return f"r{self._requests + 1:06d}"
+
     def next_id(self) -> str:
         """Return the identifier of a new request."""
         self._requests += 1
