--- a/review/3/case.py
+++ b/review/3/case.py
@@ -122,7 +122,9 @@
     while True:
         number += 1
         running = [
-            d for d in stage.daemons if d.is_running and not d.is_stopping
+            daemon
+            for daemon in stage.daemons
+            if daemon.is_running and not daemon.is_stopping
         ]
         daemon = running[number % len(running)]
         task = asyncio.ensure_future(_send_one(stage, daemon, number, results))
--- a/review/stage.py
+++ b/review/stage.py
@@ -883,7 +883,7 @@
 
     try:
         is_broken = asyncio.run(main())
-    except (CaseError, OSError, TimeoutError, KeyError) as error:
+    except Exception as error:
         record.write(f"could not run: {error!r}")
         print(f"could not run: {error!r}")
         return EXIT_NOT_RUN
