--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,8 +1,9 @@
-"""A leaving server gets requests after a daemon's path to the store was cut.
+"""All daemons miss a manifest after the store turned each of them away once.
 
-Each round cuts the path between the store and the daemon that has read the
-list of servers last. When it heals, the entry of a server elsewhere is
-removed. The other daemons were in touch with the store all the while.
+The store does not answer one daemon at a time, for a few seconds, while it
+serves the others and operators. Manifests change meanwhile. When the store has
+served everybody for longer than ``contact``, one more manifest moves a route to
+another service.
 """
 
 from __future__ import annotations
@@ -17,115 +18,101 @@
 
 import stage as stage_module  # noqa: E402
 
-DRAIN_S = 2.0
 CONTACT_S = 3.0
-# A leaving server serves for ``drain`` and a little longer, then it exits.
-EXIT_AFTER_S = DRAIN_S + 0.6
-# Durations of the cuts in seconds; the site's largest one is 5.5.
-CUTS_S = (1.0, 1.3, 1.6, 1.9, 2.2, 2.5, 1.1, 1.4, 1.7, 2.0)
-REQUESTS_PER_S = 60
+CONFIG_APPLY_S = 2.0
+TURNED_AWAY_S = 3.5
+# From the end of the last disruption to the manifest that is judged.
+CALM_S = CONTACT_S + 1.5
+WATCHED_S = 12.0
+REQUESTS_PER_S = 30
 
 
 async def play(stage: stage_module.Stage, has_trouble: bool) -> bool:
-    """Play all rounds; return whether the rule was broken."""
-    last_reader = {}
-
-    def watch_reads(name):
-        def on_call(path, table):
-            if path == "/v1/rows-get" and table == "servers":
-                last_reader["name"] = name
-
-        return on_call
-
-    stage.store.put(
-        "op",
-        "config",
-        stage_module.manifest(
-            7,
-            {
-                "r-check": stage_module.route("/check/", "idempotent"),
-                "r-order": stage_module.route("/order/", "non_idempotent"),
-            },
-            {"orders": stage_module.service()},
-        ),
-    )
+    """Play the day; return whether the rule was broken."""
+    _push_manifest(stage, 7, "orders")
     await stage.start(instances_per_zone=2)
-    for name, link in stage.links.items():
-        link.on_call = watch_reads(name)
-    sent: dict[str, stage_module.Daemon] = {}
+    for zone in stage.ZONES:
+        await stage.add_instance(f"i-{zone}-new", zone, "orders-new")
+    sent: dict[str, float] = {}
     results: dict[str, int] = {}
-    cut_until: dict[str, float] = {}
     load = asyncio.ensure_future(_send_load(stage, sent, results))
     await asyncio.sleep(4.0)
-    late_total = 0
-    for number, cut_s in enumerate(CUTS_S):
-        reader = last_reader.get("name", stage.daemons[0].name)
+    _push_manifest(stage, 9, "orders")
+    await asyncio.sleep(1.0)
+    for number, daemon in enumerate(stage.daemons):
         if has_trouble:
-            stage.record.write(f"cut {reader} from the store for {cut_s} s")
-            stage.links[reader].cut()
-        await asyncio.sleep(cut_s)
+            stage.record.write(f"store turns {daemon.name} away")
+            stage.links[daemon.name].is_turned_away = True
+        await asyncio.sleep(TURNED_AWAY_S / 2)
+        _push_manifest(stage, 12 + 2 * number, "orders")
+        await asyncio.sleep(TURNED_AWAY_S / 2)
         if has_trouble:
-            stage.links[reader].heal()
-            stage.record.write(f"healed {reader}")
-            cut_until[reader] = time.monotonic()
-        zone = next(d.zone for d in stage.daemons if d.name != reader)
-        leaver = next(i for i in stage.instances if i.zone == zone and i.is_up)
-        leaver.remove_entry()
-        removed_at = time.monotonic()
-        stage.record.write(f"entry of {leaver.name} removed")
-        await asyncio.sleep(EXIT_AFTER_S)
-        leaver.end()
-        stage.record.write(f"server {leaver.name} exits")
-        late = [
-            (at, request_id)
-            for at, request_id in leaver.arrivals
-            if at > removed_at + DRAIN_S
-            and sent[request_id].name != reader
-            and at - cut_until.get(sent[request_id].name, -1e9) >= CONTACT_S
-        ]
-        for at, request_id in late:
-            stage.record.write(
-                f"late by {at - removed_at - DRAIN_S:.3f} s: {request_id} "
-                f"from {sent[request_id].name} reached {leaver.name}"
-            )
-        late_total += len(late)
-        await stage.add_instance(f"i-{zone}-n{number}", zone)
-        await asyncio.sleep(4.0)
+            stage.links[daemon.name].is_turned_away = False
+            stage.record.write(f"store serves {daemon.name} again")
+        await asyncio.sleep(0.5)
+    await asyncio.sleep(CALM_S)
+    moved_at = time.monotonic()
+    _push_manifest(stage, 21, "orders-new")
+    await asyncio.sleep(WATCHED_S)
     load.cancel()
     await asyncio.sleep(0.1)
-    lost = sum(1 for status in results.values() if status in (0, 502))
+    late = 0
+    latest = 0.0
+    for instance in stage.instances:
+        if instance.service != "orders":
+            continue
+        for _, request_id in instance.arrivals:
+            late_s = sent[request_id] - moved_at - CONFIG_APPLY_S
+            if late_s > 0.0:
+                late += 1
+                latest = max(latest, late_s)
+                stage.record.write(
+                    f"late by {late_s:.3f} s: {request_id} ran at "
+                    f"{instance.name} of the old service"
+                )
+    judged = sum(1 for at in sent.values() if at > moved_at + CONFIG_APPLY_S)
     text = (
-        f"{late_total} late requests; "
-        f"{lost} of {len(results)} answered 502 or cut"
+        f"{late} of {judged} requests sent later than configApply ran at the "
+        f"old service, the last {latest:.1f} s later"
     )
     stage.record.write(text)
     print(text)
-    return late_total > 0
+    return late > 0
+
+
+def _push_manifest(stage, version, service) -> None:
+    """Write a manifest; the store acknowledges it at once."""
+    stage.record.write(f"manifest {version}: /check/ goes to {service}")
+    document = stage_module.manifest(
+        version,
+        {"r-check": stage_module.route("/check/", "idempotent", service)},
+        {
+            "orders": stage_module.service(),
+            "orders-new": stage_module.service(),
+        },
+    )
+    stage.store.put("op", "config", document)
 
 
 async def _send_load(stage, sent, results) -> None:
-    """Send requests to all daemons in turn."""
+    """Send requests to the daemons in turn."""
     tasks = set()
     number = 0
     while True:
         number += 1
         daemon = stage.daemons[number % len(stage.daemons)]
-        task = asyncio.ensure_future(
-            _send_one(stage, daemon, number, sent, results)
-        )
+        task = asyncio.ensure_future(_send_one(stage, daemon, sent, results))
         tasks.add(task)
         task.add_done_callback(tasks.discard)
         await asyncio.sleep(1.0 / REQUESTS_PER_S)
 
 
-async def _send_one(stage, daemon, number, sent, results) -> None:
-    """Send one request and record its daemon and status."""
-    method, path = (
-        ("POST", "/order/a") if number % 3 == 0 else ("GET", "/check/a")
-    )
-    sent[stage.upcoming_id] = daemon
+async def _send_one(stage, daemon, sent, results) -> None:
+    """Send one request and record its time and status."""
+    sent_at = time.monotonic()
+    sent[stage.upcoming_id] = sent_at
     request_id, status, _ = await stage_module.send_request(
-        stage, daemon, path, method, deadline_ms=2500
+        stage, daemon, "/check/a", deadline_ms=2500
     )
     results[request_id] = status
 
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,15 +1,14 @@
-"""A request that crashes servers reaches them again after daemons restart.
+"""A leaving server gets requests after a daemon's path to the store was cut.
 
-The request crashes each server that begins to run it and is repeated every
-second, at one daemon after the other. After it is held back, all daemons are
-stopped by SIGTERM and started again in turn.
+Each round cuts the path between the store and the daemon that has read the
+list of servers last. When it heals, the entry of a server elsewhere is
+removed. The other daemons were in touch with the store all the while.
 """
 
 from __future__ import annotations
 
 import asyncio
 import pathlib
-import signal
 import sys
 import time
 
@@ -18,20 +17,26 @@
 
 import stage as stage_module  # noqa: E402
 
+DRAIN_S = 2.0
 CONTACT_S = 3.0
-GRACE_S = 6.0
-# Retries later than ``contact`` after the third crash that the rule allows.
-MAX_RETRIES = 3
-MAX_CRASHES = 3
-POISON = "/order/poison"
-POISON_INTERVAL_S = 1.0
-# Time between the start of a daemon and the stop of the next one.
-ROLL_GAP_S = 14.0
-REQUESTS_PER_S = 30
+# A leaving server serves for ``drain`` and a little longer, then it exits.
+EXIT_AFTER_S = DRAIN_S + 0.6
+# Durations of the cuts in seconds; the site's largest one is 5.5.
+CUTS_S = (1.0, 1.3, 1.6, 1.9, 2.2, 2.5, 1.1, 1.4, 1.7, 2.0)
+REQUESTS_PER_S = 60
 
 
 async def play(stage: stage_module.Stage, has_trouble: bool) -> bool:
-    """Play the day; return whether the rule was broken."""
+    """Play all rounds; return whether the rule was broken."""
+    last_reader = {}
+
+    def watch_reads(name):
+        def on_call(path, table):
+            if path == "/v1/rows-get" and table == "servers":
+                last_reader["name"] = name
+
+        return on_call
+
     stage.store.put(
         "op",
         "config",
@@ -45,99 +50,80 @@
         ),
     )
     await stage.start(instances_per_zone=2)
-    for instance in stage.instances:
-        instance.poison_path = POISON
-        instance.poison_after_s = 0.02
+    for name, link in stage.links.items():
+        link.on_call = watch_reads(name)
+    sent: dict[str, stage_module.Daemon] = {}
     results: dict[str, int] = {}
-    poisons: list[tuple[float, str, stage_module.Daemon]] = []
-    load = asyncio.ensure_future(_send_load(stage, results))
+    cut_until: dict[str, float] = {}
+    load = asyncio.ensure_future(_send_load(stage, sent, results))
     await asyncio.sleep(4.0)
-    poison = asyncio.ensure_future(_send_poison(stage, poisons))
-    await asyncio.sleep(10.0)
-    for daemon in list(stage.daemons):
+    late_total = 0
+    for number, cut_s in enumerate(CUTS_S):
+        reader = last_reader.get("name", stage.daemons[0].name)
+        if has_trouble:
+            stage.record.write(f"cut {reader} from the store for {cut_s} s")
+            stage.links[reader].cut()
+        await asyncio.sleep(cut_s)
         if has_trouble:
-            daemon.signal(signal.SIGTERM)
-            await daemon.wait_for_end(GRACE_S)
-            daemon.start()
-            await stage.wait_until_ready(10.0)
-            await asyncio.sleep(ROLL_GAP_S)
-        else:
-            await asyncio.sleep(ROLL_GAP_S + GRACE_S)
-    poison.cancel()
+            stage.links[reader].heal()
+            stage.record.write(f"healed {reader}")
+            cut_until[reader] = time.monotonic()
+        zone = next(d.zone for d in stage.daemons if d.name != reader)
+        leaver = next(i for i in stage.instances if i.zone == zone and i.is_up)
+        leaver.remove_entry()
+        removed_at = time.monotonic()
+        stage.record.write(f"entry of {leaver.name} removed")
+        await asyncio.sleep(EXIT_AFTER_S)
+        leaver.end()
+        stage.record.write(f"server {leaver.name} exits")
+        late = [
+            (at, request_id)
+            for at, request_id in leaver.arrivals
+            if at > removed_at + DRAIN_S
+            and sent[request_id].name != reader
+            and at - cut_until.get(sent[request_id].name, -1e9) >= CONTACT_S
+        ]
+        for at, request_id in late:
+            stage.record.write(
+                f"late by {at - removed_at - DRAIN_S:.3f} s: {request_id} "
+                f"from {sent[request_id].name} reached {leaver.name}"
+            )
+        late_total += len(late)
+        await stage.add_instance(f"i-{zone}-n{number}", zone)
+        await asyncio.sleep(4.0)
     load.cancel()
     await asyncio.sleep(0.1)
-    return _judge(stage, poisons, results)
-
-
-def _judge(stage, poisons, results) -> bool:
-    """Return whether the request reached servers too often."""
-    reached_at = {
-        request_id: at
-        for instance in stage.instances
-        for at, request_id in instance.arrivals
-    }
-    crashed_at = sorted(
-        reached_at[request_id]
-        for _, request_id, _ in poisons
-        if request_id in reached_at
-    )
-    counted = 0
-    if len(crashed_at) >= MAX_CRASHES:
-        held_from = crashed_at[MAX_CRASHES - 1] + CONTACT_S
-        for sent_at, request_id, in_touch in poisons:
-            at = reached_at.get(request_id)
-            if at is not None and at > held_from and in_touch:
-                counted += 1
-                stage.record.write(f"counts: {request_id} reached a server")
     lost = sum(1 for status in results.values() if status in (0, 502))
     text = (
-        f"{len(poisons)} repeats, {len(crashed_at)} reached a server, {counted}"
-        f" count; {lost} of {len(results)} other requests answered 502 or cut"
+        f"{late_total} late requests; "
+        f"{lost} of {len(results)} answered 502 or cut"
     )
     stage.record.write(text)
     print(text)
-    return counted > MAX_RETRIES
-
+    return late_total > 0
 
-async def _send_poison(stage, poisons) -> None:
-    """Repeat the request at one daemon after the other."""
-    number = 0
-    while True:
-        running = [daemon for daemon in stage.daemons if daemon.is_running]
-        daemon = running[number % len(running)]
-        number += 1
-        sent_at = time.monotonic()
-        in_touch = daemon.is_in_touch(sent_at) and not daemon.is_stopping
-        request_id, _, _ = await stage_module.send_request(
-            stage, daemon, POISON, "POST", b"order", deadline_ms=2500
-        )
-        poisons.append((sent_at, request_id, in_touch))
-        await asyncio.sleep(POISON_INTERVAL_S)
 
-
-async def _send_load(stage, results) -> None:
-    """Send other requests to the running daemons in turn."""
+async def _send_load(stage, sent, results) -> None:
+    """Send requests to all daemons in turn."""
     tasks = set()
     number = 0
     while True:
         number += 1
-        running = [
-            daemon
-            for daemon in stage.daemons
-            if daemon.is_running and not daemon.is_stopping
-        ]
-        daemon = running[number % len(running)]
-        task = asyncio.ensure_future(_send_one(stage, daemon, number, results))
+        daemon = stage.daemons[number % len(stage.daemons)]
+        task = asyncio.ensure_future(
+            _send_one(stage, daemon, number, sent, results)
+        )
         tasks.add(task)
         task.add_done_callback(tasks.discard)
         await asyncio.sleep(1.0 / REQUESTS_PER_S)
 
 
-async def _send_one(stage, daemon, number, results) -> None:
-    """Send one request and keep its status."""
+async def _send_one(stage, daemon, number, sent, results) -> None:
+    """Send one request and record its daemon and status."""
     method, path = (
         ("POST", "/order/a") if number % 3 == 0 else ("GET", "/check/a")
     )
+    sent[stage.upcoming_id] = daemon
     request_id, status, _ = await stage_module.send_request(
         stage, daemon, path, method, deadline_ms=2500
     )
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,13 +1,15 @@
-"""A request that crashes servers after its client left is never held back.
+"""A request that crashes servers reaches them again after daemons restart.
 
-The request crashes each server that runs it. Its client leaves before, as
-impatient consumers do, and sends it again at another daemon.
+The request crashes each server that begins to run it and is repeated every
+second, at one daemon after the other. After it is held back, all daemons are
+stopped by SIGTERM and started again in turn.
 """
 
 from __future__ import annotations
 
 import asyncio
 import pathlib
+import signal
 import sys
 import time
 
@@ -17,15 +19,14 @@
 import stage as stage_module  # noqa: E402
 
 CONTACT_S = 3.0
+GRACE_S = 6.0
 # Retries later than ``contact`` after the third crash that the rule allows.
 MAX_RETRIES = 3
 MAX_CRASHES = 3
 POISON = "/order/poison"
-POISON_INTERVAL_S = 2.0
-LENGTH_S = 45.0
-CRASH_AFTER_S = 0.3
-# Half of the route's objective.
-LEAVES_AFTER_S = 0.15
+POISON_INTERVAL_S = 1.0
+# Time between the start of a daemon and the stop of the next one.
+ROLL_GAP_S = 14.0
 REQUESTS_PER_S = 30
 
 
@@ -46,64 +47,86 @@
     await stage.start(instances_per_zone=2)
     for instance in stage.instances:
         instance.poison_path = POISON
-        instance.poison_after_s = CRASH_AFTER_S
+        instance.poison_after_s = 0.02
     results: dict[str, int] = {}
-    repeats: list[str] = []
+    poisons: list[tuple[float, str, stage_module.Daemon]] = []
     load = asyncio.ensure_future(_send_load(stage, results))
-    # All daemons are in touch from here on.
     await asyncio.sleep(4.0)
-    ends_at = time.monotonic() + LENGTH_S
-    while time.monotonic() < ends_at:
-        daemon = stage.daemons[len(repeats) % len(stage.daemons)]
-        request_id, _, _ = await stage_module.send_request(
-            stage,
-            daemon,
-            POISON,
-            "POST",
-            b"order",
-            deadline_ms=2500,
-            leave_after_s=LEAVES_AFTER_S if has_trouble else None,
-        )
-        repeats.append(request_id)
-        await asyncio.sleep(POISON_INTERVAL_S)
+    poison = asyncio.ensure_future(_send_poison(stage, poisons))
+    await asyncio.sleep(10.0)
+    for daemon in list(stage.daemons):
+        if has_trouble:
+            daemon.signal(signal.SIGTERM)
+            await daemon.wait_for_end(GRACE_S)
+            daemon.start()
+            await stage.wait_until_ready(10.0)
+            await asyncio.sleep(ROLL_GAP_S)
+        else:
+            await asyncio.sleep(ROLL_GAP_S + GRACE_S)
+    poison.cancel()
     load.cancel()
     await asyncio.sleep(0.1)
-    return _judge(stage, repeats, results)
+    return _judge(stage, poisons, results)
 
 
-def _judge(stage, repeats, results) -> bool:
+def _judge(stage, poisons, results) -> bool:
     """Return whether the request reached servers too often."""
-    crashes = sum(instance.crashes for instance in stage.instances)
-    reached = sorted(
-        (at, request_id)
+    reached_at = {
+        request_id: at
         for instance in stage.instances
         for at, request_id in instance.arrivals
-        if request_id in repeats
+    }
+    crashed_at = sorted(
+        reached_at[request_id]
+        for _, request_id, _ in poisons
+        if request_id in reached_at
     )
     counted = 0
-    if crashes >= MAX_CRASHES:
-        held_from = reached[MAX_CRASHES - 1][0] + CONTACT_S
-        for at, request_id in reached:
-            if at > held_from:
+    if len(crashed_at) >= MAX_CRASHES:
+        held_from = crashed_at[MAX_CRASHES - 1] + CONTACT_S
+        for sent_at, request_id, in_touch in poisons:
+            at = reached_at.get(request_id)
+            if at is not None and at > held_from and in_touch:
                 counted += 1
                 stage.record.write(f"counts: {request_id} reached a server")
     lost = sum(1 for status in results.values() if status in (0, 502))
     text = (
-        f"{len(repeats)} repeats, {crashes} crashes, {counted} count; "
-        f"{lost} of {len(results)} other requests answered 502 or cut"
+        f"{len(poisons)} repeats, {len(crashed_at)} reached a server, {counted}"
+        f" count; {lost} of {len(results)} other requests answered 502 or cut"
     )
     stage.record.write(text)
     print(text)
     return counted > MAX_RETRIES
 
 
+async def _send_poison(stage, poisons) -> None:
+    """Repeat the request at one daemon after the other."""
+    number = 0
+    while True:
+        running = [daemon for daemon in stage.daemons if daemon.is_running]
+        daemon = running[number % len(running)]
+        number += 1
+        sent_at = time.monotonic()
+        in_touch = daemon.is_in_touch(sent_at) and not daemon.is_stopping
+        request_id, _, _ = await stage_module.send_request(
+            stage, daemon, POISON, "POST", b"order", deadline_ms=2500
+        )
+        poisons.append((sent_at, request_id, in_touch))
+        await asyncio.sleep(POISON_INTERVAL_S)
+
+
 async def _send_load(stage, results) -> None:
-    """Send other requests to the daemons in turn."""
+    """Send other requests to the running daemons in turn."""
     tasks = set()
     number = 0
     while True:
         number += 1
-        daemon = stage.daemons[number % len(stage.daemons)]
+        running = [
+            daemon
+            for daemon in stage.daemons
+            if daemon.is_running and not daemon.is_stopping
+        ]
+        daemon = running[number % len(running)]
         task = asyncio.ensure_future(_send_one(stage, daemon, number, results))
         tasks.add(task)
         task.add_done_callback(tasks.discard)
