--- a/review/2/case.py
+++ b/review/2/case.py
@@ -2,8 +2,8 @@
 
 The store does not answer one daemon at a time, for a few seconds, while it
 serves the others and operators. Manifests change meanwhile. When the store has
-served everybody for longer than ``contact``, one more manifest moves a route to
-another service.
+served everybody for longer than ``contact``, one more manifest moves a route
+to another service.
 """
 
 from __future__ import annotations
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -91,8 +91,9 @@
                 stage.record.write(f"counts: {request_id} reached a server")
     lost = sum(1 for status in results.values() if status in (0, 502))
     text = (
-        f"{len(poisons)} repeats, {len(crashed_at)} reached a server, {counted}"
-        f" count; {lost} of {len(results)} other requests answered 502 or cut"
+        f"{len(poisons)} repeats, {len(crashed_at)} reached a server, "
+        f"{counted} count; "
+        f"{lost} of {len(results)} other requests answered 502 or cut"
     )
     stage.record.write(text)
     print(text)
--- a/review/stage.py
+++ b/review/stage.py
@@ -866,6 +866,8 @@
     """
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(folder / "record.txt")
+    # A case that is stopped ends its processes, too.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
 
     async def main() -> bool:
         with tempfile.TemporaryDirectory() as name:
@@ -883,7 +885,7 @@
 
     try:
         is_broken = asyncio.run(main())
-    except Exception as error:
+    except (Exception, KeyboardInterrupt) as error:
         record.write(f"could not run: {error!r}")
         print(f"could not run: {error!r}")
         return EXIT_NOT_RUN
