Count a crash in any part of a server's answer

Callers saw: a request that ends each server that runs it was sent on for ever if the servers had begun to answer; sound requests on those servers got 502.

Cause: a crash was counted only if the connection broke before the first byte of the answer, and the begin of a streamed answer even cleared the request. What is known of a crash depended on the caller's answer.

Change: the tracker keeps the starts of servers that ended with a request, in whatever part of an answer, including streamed ones and those that end with their connection. A start counts once and only until the server is seen to run on (a connection from before answers, or the list still names the start); recent answers excuse ends; one daemon lets a held request through now and then. So sound requests are not held back for it. Connections that the daemon closes itself are no ends. Notices hold the whole account and are sent twice, one copy for each relay.

Two tests of the tracker changed: three ends of one server's start are no longer three crashes, so they use three servers, and the action TellCrash became the tracker's own list of changes, checked for its content.

Ruled out: that the other daemons miss the notices; the same case with a crash before the answer was held after three.

--- a/tarragonlift/components/data_path/client.py
+++ b/tarragonlift/components/data_path/client.py
@@ -6,6 +6,7 @@
 from collections import abc as collections_abc
 import math
 import socket
+import time
 
 import attrs
 import httptools
@@ -111,6 +112,8 @@
         self.address = address
         # True if an earlier request was sent on this connection.
         self.is_reused = False
+        # Monotonic time at which the connection was established.
+        self.established_at = math.inf
         self.on_idle_closed: collections_abc.Callable[
             [ClientConnection], None
         ] = _ignore
@@ -169,6 +172,7 @@
 
     def on_connected(self) -> None:
         """Mark the request as sent: its bytes are written from now on."""
+        self.established_at = time.monotonic()
         self._sent = self._listener is not None
 
     def on_data(self, data: bytes) -> None:
@@ -313,10 +317,11 @@
     """
     if not sent:
         return core_const.AttemptFailure.CONNECT_FAILED
-    if has_head:
-        return core_const.AttemptFailure.BROKEN_IN_ANSWER
     if malformed:
+        # This side closed the connection.
         return core_const.AttemptFailure.BAD_ANSWER
+    if has_head:
+        return core_const.AttemptFailure.BROKEN_IN_ANSWER
     return core_const.AttemptFailure.BROKEN_BEFORE_ANSWER
 
 
--- a/tarragonlift/components/gateway/const.py
+++ b/tarragonlift/components/gateway/const.py
@@ -63,6 +63,10 @@
 # Age of the list, as a share of its maximum age, up to which a daemon passes
 # it on to one that starts.
 MAX_SHARED_LIST_AGE_SHARE = 1.2
+# Time in seconds after which a notice of suspected requests is sent again, as
+# datagrams may be lost, and the number of requests in one notice.
+CRASH_NOTICE_REPEAT_S = 0.4
+MAX_NOTICE_SUSPECTS = 100
 # Interval in seconds between two reads of the rows; a daemon that sends a
 # message is known at once.
 MEMBERS_INTERVAL_S = 60.0
--- a/tarragonlift/components/gateway/daemon.py
+++ b/tarragonlift/components/gateway/daemon.py
@@ -123,7 +123,6 @@
             self._on_peer_message,
             logs.log_error,
         )
-        self._gateway.on_crash = self._announce_crash
         ready_page = pages.ReadinessPage(dialect.readiness_path, self.is_ready)
         self._ready = pages.PageListener(self._poller, ready_page)
         metrics_page = pages.MetricsPage(METRICS_PATH, self._metrics)
@@ -202,20 +201,9 @@
 
     def _on_peer_message(self, message: peer_messages.Message) -> None:
         """Apply a message of another daemon."""
-        if isinstance(message, peer_messages.CrashNotice):
-            self._fleet.crash_tracker.record_crash(
-                message.fingerprint, time.monotonic()
-            )
-            logs.log_status(
-                "crash", fingerprint=message.fingerprint, told=True
-            )
-        elif self._follower is not None:
+        if self._follower is not None:
             self._follower.on_message(message)
 
-    def _announce_crash(self, fingerprint: str) -> None:
-        """Notify the other daemons of a crash caused by this request."""
-        self._peer_socket.send(peer_messages.CrashNotice(fingerprint))
-
     def _tick_follower(self, now: float) -> None:
         """Run the follower's reads that are due."""
         self._poller.call_at(
@@ -251,6 +239,8 @@
         if self._follower is not None:
             limited_count = self._follower.rate_limits.limited_count
             self._metrics.gauge("rate_limited_servers", limited_count)
+        held = self._fleet.crash_tracker.count_held(now)
+        self._metrics.gauge("held_requests", held)
         self._metrics.gauge("log_lines_lost", self._log_writer.dropped_total)
         self._metrics.flush()
         self._ready.sweep(now)
--- a/tarragonlift/components/gateway/exchange.py
+++ b/tarragonlift/components/gateway/exchange.py
@@ -132,7 +132,7 @@
             ends_at = request.deadline_at if run.is_streaming else overrun_at
             if now >= ends_at:
                 run.connection.abandon()
-                run.on_failed(sent=True, malformed=False)
+                self.on_run_failed(run, Failure.OVERDUE)
 
     def on_body(self, data: bytes) -> None:
         """Receive a part of the request's body."""
@@ -257,11 +257,14 @@
         self.run(self._delivery.start(time.monotonic()))
 
     def _fingerprint(self) -> str:
-        """Return a hash that identifies repetitions of the request."""
+        """Return a hash that identifies repetitions of the request.
+
+        Of a long body, the part that is always received by now is used.
+        """
         digest = xxhash.xxh64(self._head.method)
         digest.update(self._head.fields.get(b"host", b""))
         digest.update(self._head.target)
-        digest.update(self.buffered_body)
+        digest.update(self.buffered_body[: const.MAX_BUFFERED_BODY_BYTES])
         return digest.hexdigest()
 
     def _stop_buffering(self) -> None:
@@ -283,6 +286,8 @@
         head = run.head
         assert head is not None  # noqa: S101 - a verdict needs a head
         server = run.attempt.backend
+        if verdict is not Verdict.MISPLACED:
+            self._report_response(run)
         load = self._owner.dialect.load_report(head)
         if load is not None and verdict is Verdict.SUCCESS:
             server.update_load(load, now)
@@ -295,7 +300,18 @@
                 verdict=verdict.value,
                 after_ms=_to_ms(now - run.attempt.started_at),
             )
-        self.run(self._delivery.on_answer(run.attempt, verdict, now))
+        self.run(
+            self._delivery.on_answer(
+                run.attempt, verdict, now, head.is_framed or self._is_head
+            )
+        )
+
+    def _report_response(self, run: attempt_run.AttemptRun) -> None:
+        """Report that the attempt's server has answered."""
+        attempt = run.attempt
+        self._owner.on_server_response(
+            attempt.backend, run.connection, attempt.started_at
+        )
 
     def _send(self, attempt: actions.Attempt) -> None:
         """Send the request with the part of its body received so far."""
@@ -377,9 +393,7 @@
         self._log_answered(run)
         self._write_response_head(run, None)
         now = time.monotonic()
-        for action in self._delivery.on_answer(run.attempt, verdict, now):
-            if isinstance(action, actions.Abandon):
-                self._abandon_attempt(action.attempt)
+        self.run(self._delivery.on_stream_begun(run.attempt, now))
         data, run.body = b"".join(run.body), []
         self._stream_response(run, data)
 
@@ -397,6 +411,9 @@
 
     def _end_streaming(self, run: attempt_run.AttemptRun) -> None:
         """Write the end of a streamed response."""
+        is_delimited = run.head is not None and run.head.is_framed
+        self._delivery.on_stream_ended(time.monotonic(), is_delimited)
+        self._report_response(run)
         connection = self._connection
         if connection is not None and run.head is not None:
             if run.head.content_length is None:
--- a/tarragonlift/components/gateway/exchange_owner.py
+++ b/tarragonlift/components/gateway/exchange_owner.py
@@ -45,6 +45,15 @@
     ) -> None:
         """Carry out an action that affects more than this exchange."""
 
+    @abc.abstractmethod
+    def on_server_response(
+        self,
+        server: server_module.FleetServer,
+        connection: client.ClientConnection,
+        sent_at: float,
+    ) -> None:
+        """Handle a complete response to a request sent at this time."""
+
     @abc.abstractmethod
     def on_rate_limit(
         self, server: server_module.FleetServer, per_s: float | None
--- a/tarragonlift/components/gateway/gateway.py
+++ b/tarragonlift/components/gateway/gateway.py
@@ -62,10 +62,10 @@
             dialect,
             metrics,
             self._on_health_rate_limit,
+            self.on_server_response,
         )
         self._stopping_since: float | None = None
         self._accept_until = float("inf")
-        self.on_crash: abc.Callable[[str], None] = _ignore
         self.on_rate_limit_stated: RateLimitCallback = _ignore_rate_limit
 
     @property
@@ -192,9 +192,17 @@
             )
         elif isinstance(action, delivery_module.Probe):
             self._probe_servers(exchange, action)
-        elif isinstance(action, delivery_module.TellCrash):
-            logs.log_status("crash", fingerprint=action.fingerprint)
-            self.on_crash(action.fingerprint)
+
+    def on_server_response(
+        self,
+        server: server_module.FleetServer,
+        connection: client.ClientConnection,
+        sent_at: float,
+    ) -> None:
+        """Record that the server's process runs."""
+        self._fleet.crash_tracker.record_alive(
+            server, connection.established_at, sent_at
+        )
 
     def on_rate_limit(
         self, server: server_module.FleetServer, per_s: float | None
--- a/tarragonlift/components/gateway/peer_messages.py
+++ b/tarragonlift/components/gateway/peer_messages.py
@@ -48,10 +48,36 @@
 
 
 @attrs.frozen
-class CrashNotice:
-    """Notice that a server crashed on a request with this fingerprint."""
+class StartAge:
+    """A start of a server; ``age_s`` is how long ago it ended, or was seen."""
+
+    start: models.ServerStart
+    age_s: float
+
+
+@attrs.frozen
+class StatedSuspect:
+    """A request with the starts of servers that ended while they ran it.
+
+    ``answered_age_s`` is the time in seconds since an answer ended the
+    suspicion, infinite without one.
+    """
 
     fingerprint: str
+    ends: tuple[StartAge, ...]
+    answered_age_s: float = math.inf
+
+
+@attrs.frozen
+class CrashNotice:
+    """Notice of suspected requests, and of servers that were seen to run on.
+
+    A notice ``for_relay`` is passed on to the receiver's data centre.
+    """
+
+    suspects: tuple[StatedSuspect, ...] = ()
+    survivors: tuple[StartAge, ...] = ()
+    for_relay: bool = False
 
 
 @attrs.frozen
@@ -167,10 +193,6 @@
         host, port = self._sock.getsockname()[:2]
         return core_models.Address(host, port)
 
-    def send(self, message: Message) -> None:
-        """Send the message to all other daemons."""
-        self._send(message, self._members.others)
-
     def send_to_relays(self, message: Message) -> None:
         """Send the message to daemons that pass it on elsewhere."""
         self._send(message, self._members.relays)
@@ -238,7 +260,12 @@
     A compressed configuration above ``max_document_bytes`` is left out.
     """
     if isinstance(message, CrashNotice):
-        return [TYPE_CRASH, message.fingerprint]
+        return [
+            TYPE_CRASH,
+            _pack(map(_encode_suspect, message.suspects)),
+            _pack(map(_encode_start_age, message.survivors)),
+            message.for_relay,
+        ]
     if isinstance(message, OperatorNotice):
         document = zlib.compress(message.document)
         if len(document) > max_document_bytes:
@@ -293,8 +320,12 @@
     try:
         kind, *fields = data
         if kind == TYPE_CRASH:
-            (fingerprint,) = fields
-            return CrashNotice(_require(fingerprint, str))
+            suspects, survivors, for_relay = fields
+            return CrashNotice(
+                tuple(_decode_suspect(*item) for item in _unpack(suspects)),
+                tuple(_decode_start_age(*item) for item in _unpack(survivors)),
+                _require(for_relay, bool),
+            )
         if kind == TYPE_LIST:
             return _decode_list_update(*fields)
         if kind == TYPE_JOIN:
@@ -443,6 +474,40 @@
     return list_view.ListChange(server_id, entry)
 
 
+def _encode_suspect(suspect: StatedSuspect) -> list[Any]:
+    """Return the suspected request as plain data; None: not answered."""
+    age_s = suspect.answered_age_s
+    return [
+        suspect.fingerprint,
+        [_encode_start_age(end) for end in suspect.ends],
+        None if age_s == math.inf else age_s,
+    ]
+
+
+def _decode_suspect(
+    fingerprint: Any, ends: Any, answered_age_s: Any
+) -> StatedSuspect:
+    """Return the suspected request that the fields encode."""
+    return StatedSuspect(
+        _require(fingerprint, str),
+        tuple(_decode_start_age(*end) for end in _require(ends, list)),
+        math.inf if answered_age_s is None else _decode_number(answered_age_s),
+    )
+
+
+def _encode_start_age(item: StartAge) -> list[Any]:
+    """Return the start of a server with its age as plain data."""
+    return [item.start.server_id, item.start.started_ms, item.age_s]
+
+
+def _decode_start_age(server_id: Any, started_ms: Any, age_s: Any) -> StartAge:
+    """Return the start of a server that the fields encode."""
+    start = models.ServerStart(
+        _require(server_id, str), _require(started_ms, int)
+    )
+    return StartAge(start, _decode_number(age_s))
+
+
 def _encode_limit(limit: StatedLimit) -> list[Any]:
     """Return the limit as plain data; None stands for none."""
     return [
--- a/tarragonlift/components/gateway/prober.py
+++ b/tarragonlift/components/gateway/prober.py
@@ -21,6 +21,11 @@
 ProbeCallback = abc.Callable[[], None]
 RateLimitCallback = abc.Callable[[FleetServer, float | None], None]
 
+# Takes the server, the connection and when the health check was sent.
+ResponseCallback = abc.Callable[
+    [FleetServer, client.ClientConnection, float], None
+]
+
 
 class Probe(client.ResponseListener):
     """One health check on its connection."""
@@ -37,6 +42,7 @@
         self.server = server
         self.connection = connection
         self.callbacks: list[ProbeCallback] = []
+        self.sent_at = time.monotonic()
         self.is_ended = False
 
     @property
@@ -76,8 +82,10 @@
         dialect: dialect_module.Dialect,
         metrics: recorder.Recorder,
         on_rate_limit: RateLimitCallback,
+        on_response: ResponseCallback,
     ) -> None:
         """Initialize the prober with the pool for its connections."""
+        self._on_response = on_response
         self._on_rate_limit = on_rate_limit
         self._poller = poller
         self._pool = pool
@@ -115,6 +123,8 @@
             probe.connection.abandon()
             self.on_probe_failed(probe)
             return
+        if health.server_id == server.server_id:
+            self._on_response(server, probe.connection, probe.sent_at)
         old_state = (server.healthy, server.is_cold(now), server.is_misplaced)
         server.update_health(health, now)
         new_state = (server.healthy, server.is_cold(now), server.is_misplaced)
--- a/tarragonlift/components/gateway/store_follower.py
+++ b/tarragonlift/components/gateway/store_follower.py
@@ -13,6 +13,7 @@
 
 from tarragonlift.components.gateway import access
 from tarragonlift.components.gateway import const
+from tarragonlift.components.gateway import crash_follower
 from tarragonlift.components.gateway import dependency
 from tarragonlift.components.gateway import joining
 from tarragonlift.components.gateway import member_rows
@@ -62,6 +63,9 @@
         self.rate_limits = rate_limit_follower.RateLimitFollower(
             self._loop, store_access.fleet.registry
         )
+        self.crashes = crash_follower.CrashFollower(
+            self._loop, store_access.fleet.crash_tracker
+        )
         self._rows = member_rows.MemberRows(store_access)
         self._joining = joining.Joining(
             store_access, self._rows, seeds, is_first_start
@@ -104,6 +108,8 @@
         self._operator_follower.send = send_to_data_centre
         self._send_to_data_centre = send_to_data_centre
         self._joining.send_to = send_to
+        self.crashes.send_to_data_centre = send_to_data_centre
+        self.crashes.send_to_relays = send_to_relays
         self.rate_limits.send_to_data_centre = send_to_data_centre
         self.rate_limits.send_to_relays = send_to_relays
 
@@ -134,6 +140,7 @@
     def tick(self, now: float) -> None:
         """Start the reads that are due; called at short intervals."""
         self.rate_limits.tick(now)
+        self.crashes.tick(now)
         if self._is_waiting_for_state(now):
             self._ask_for_state(now)
             return
@@ -169,6 +176,8 @@
             self._start_plan.on_pending(self._loop.now())
         elif isinstance(message, peer_messages.RateLimitNotice):
             self.rate_limits.on_notice(message)
+        elif isinstance(message, peer_messages.CrashNotice):
+            self.crashes.on_notice(message)
         elif isinstance(message, peer_messages.OutageNotice):
             now = self._loop.now()
             self._operator_follower.outage.on_notice(now)
@@ -385,6 +394,7 @@
 
     def _apply_list(self, store_version: int, now: float) -> None:
         """Apply the newest list to the registry and log the changes."""
+        self._fleet.registry.read_at = self._schedule.last_read_at
         changes = self._fleet.registry.set_entries(
             store_version, self._list_view.entries, now
         )
--- a/tarragonlift/core/const.py
+++ b/tarragonlift/core/const.py
@@ -44,6 +44,7 @@
     BROKEN_BEFORE_ANSWER = "broken-before-answer"
     BROKEN_IN_ANSWER = "broken-in-answer"
     BAD_ANSWER = "bad-answer"
+    OVERDUE = "overdue"
 
 
 # Failures after which the request certainly did not run.
@@ -55,6 +56,14 @@
     )
 )
 
+# Failures after which the server may have ended while it ran the request.
+FAILURES_BROKEN = frozenset(
+    (
+        AttemptFailure.BROKEN_BEFORE_ANSWER,
+        AttemptFailure.BROKEN_IN_ANSWER,
+    )
+)
+
 MAX_ATTEMPTS = 4
 MAX_HEDGES = 2
 SET_ASIDE_S = 1.0
--- a/tarragonlift/core/fleet/const.py
+++ b/tarragonlift/core/fleet/const.py
@@ -136,12 +136,29 @@
 # target latency, two so that the request is answered at all.
 MAX_HEDGE_SEARCHES = 3
 
-# Number of crashes at all daemons after which a request is held back.
+# Number of starts of servers that ended with a request, as seen by all
+# daemons, after which it is held back, and the number that is counted at most.
 MAX_CRASHES = 3
+MAX_COUNTED_ENDS = 8
 # Number of suspected requests that are remembered.
 MAX_SUSPECTED_REQUESTS = 1000
-# Time in seconds for which a suspected request is remembered.
-SUSPECT_TTL_S = 120.0
+# Time in seconds after the last end for which a request is suspected.
+SUSPECT_TTL_S = 600.0
+# Time in seconds after an answer for which the end of a server is not
+# attributed to the request, and the number of answers that are remembered.
+ANSWER_TTL_S = 5.0
+MAX_REMEMBERED_ANSWERS = 512
+# Time in seconds before its end for which a server's connection must have
+# been established to show that it did not end: daemons learn of an end later.
+MIN_SURVIVED_S = 1.0
+# Time in seconds after a server's supposed end at which a list that still
+# names the same start disproves it: entries expire after three heartbeats.
+LIST_CONFIRMS_END_AFTER_S = 8.0
+# Time in seconds after the last end until one daemon lets a request that is
+# held back through, the factor for each further time, and how many times.
+CRASH_TRIAL_PAUSE_S = 30.0
+CRASH_TRIAL_FACTOR = 3.0
+MAX_CRASH_TRIALS = 2
 
 # Share of the time left after which a refused caller should retry; callers
 # honour at most a third.
--- a/tarragonlift/core/fleet/delivery.py
+++ b/tarragonlift/core/fleet/delivery.py
@@ -57,13 +57,6 @@
     servers: tuple[server_module.FleetServer, ...]
 
 
-@attrs.frozen
-class TellCrash(actions.Action):
-    """Report to the other daemons that a server crashed on a request."""
-
-    fingerprint: str
-
-
 @attrs.define
 class Context:
     """State that all deliveries of a daemon share."""
@@ -94,6 +87,8 @@
         self._attempts: list[Attempt] = []
         # Servers of the attempts since each server had one.
         self._tried: set[str] = set()
+        # Attempt whose answer is relayed before it is complete.
+        self._streamed: Attempt | None = None
         self._sent_to: set[str] = set()
         self._sent = 0
         self._may_have_run = 0
@@ -131,7 +126,7 @@
     def start(self, now: float) -> Actions:
         """Start the delivery, or refuse it if it may crash servers."""
         self._budget.earn()
-        if self._is_held(now):
+        if not self._context.crash_tracker.begin(self.fingerprint, now):
             return self._refuse(exceptions.CrashSuspected(Outcome.NOT_RUN))
         wake = actions.WakeAt(self._request.give_up_at)
         return [wake, *self._begin_search(now)]
@@ -166,15 +161,27 @@
         return self._search(now)
 
     def on_answer(
-        self, attempt: Attempt, verdict: Verdict, now: float
+        self,
+        attempt: Attempt,
+        verdict: Verdict,
+        now: float,
+        is_delimited: bool = True,
     ) -> Actions:
-        """Relay a complete answer, or retry at another server if allowed."""
+        """Relay a complete answer, or retry at another server if allowed.
+
+        ``is_delimited`` is False if the end of the connection is the only
+        sign of the answer's end: the server may have crashed as well.
+        """
         if attempt not in self._attempts:
             return []
         pending = self._end_attempt(attempt, now)
         server = attempt.backend
         if verdict is Verdict.SUCCESS:
             self._record_answer(server, pending, now)
+            if is_delimited:
+                self._context.crash_tracker.record_answer(
+                    self.fingerprint, now
+                )
         if self._phase is Phase.DONE:
             return []
         if verdict is Verdict.SUCCESS:
@@ -193,25 +200,45 @@
             return [] if self._attempts else self._relay(attempt, now)
         return self._after_failure(now)
 
+    def on_stream_begun(self, attempt: Attempt, now: float) -> Actions:
+        """Relay an answer while it arrives and abandon the other attempts."""
+        if attempt not in self._attempts:
+            return []
+        pending = self._end_attempt(attempt, now)
+        self._record_answer(attempt.backend, pending, now)
+        if self._phase is Phase.DONE:
+            return []
+        self._streamed = attempt
+        self._record_unanswered(now)
+        self._phase = Phase.DONE
+        return self._abandon_all(now)
+
+    def on_stream_ended(self, now: float, is_delimited: bool) -> None:
+        """Record the end of the answer that was relayed as it arrived."""
+        self._streamed = None
+        if is_delimited:
+            self._context.crash_tracker.record_answer(self.fingerprint, now)
+
     def on_failed(
         self, attempt: Attempt, failure: Failure, now: float
     ) -> Actions:
         """Retry at another server if allowed, else refuse the request."""
+        if attempt is self._streamed:
+            self._streamed = None
+            attempt.backend.record_failure(now)
+            self._record_break(attempt, failure, now)
+            return []
         if attempt not in self._attempts:
             return []
         self._end_attempt(attempt, now)
         attempt.backend.record_failure(now)
         if self._phase is Phase.DONE:
             return []
+        self._record_break(attempt, failure, now)
         if failure in core_const.FAILURES_NOT_RUN:
             return self._after_not_run(now)
         self._may_have_run += 1
-        reports: Actions = []
-        if failure is Failure.BROKEN_BEFORE_ANSWER:
-            fingerprint = self.fingerprint
-            self._context.crash_tracker.record_crash(fingerprint, now)
-            reports.append(TellCrash(fingerprint))
-        return reports + self._after_failure(now)
+        return self._after_failure(now)
 
     def on_caller_gone(self, now: float) -> Actions:
         """Stop, but let a request that is not idempotent run to its end."""
@@ -424,8 +451,7 @@
         pending: server_module.InFlight | None,
         now: float,
     ) -> None:
-        """Record the service time and clear the suspicion of a crash."""
-        self._context.crash_tracker.clear(self.fingerprint)
+        """Record the service time of an answer."""
         if pending is None:
             return
         server.record_answer(pending, now)
@@ -440,6 +466,15 @@
                 route, (now - pending.sent_at) / expected_slowdown
             )
 
+    def _record_break(
+        self, attempt: Attempt, failure: Failure, now: float
+    ) -> None:
+        """Record that a server may have ended because of the request."""
+        if failure in core_const.FAILURES_BROKEN:
+            self._context.crash_tracker.record_break(
+                self.fingerprint, attempt.backend, now
+            )
+
     def _record_unanswered(self, now: float) -> None:
         """Record that servers have not answered yet."""
         for attempt in self._attempts:
--- a/tarragonlift/core/fleet/fleet.py
+++ b/tarragonlift/core/fleet/fleet.py
@@ -67,7 +67,7 @@
         self._operators_version = 0
         self.members = members_module.Members(own)
         self.registry = registry.Registry(self.members)
-        self.crash_tracker = crashes.CrashTracker()
+        self.crash_tracker = crashes.CrashTracker(self.registry, self.members)
         self._stop_plan = stop_plan.StopPlan()
         self._budgets: dict[str, budget.ExtraCallBudget] = {}
         self._context = delivery.Context(
--- a/tarragonlift/core/fleet/models.py
+++ b/tarragonlift/core/fleet/models.py
@@ -86,6 +86,14 @@
     out_of_service: tuple[str, ...]
 
 
+@attrs.frozen
+class ServerStart:
+    """One process of a server, from its start to its end."""
+
+    server_id: str
+    started_ms: int
+
+
 @attrs.frozen
 class ListedServer:
     """One entry of the platform's list of backend servers.
--- a/tarragonlift/core/fleet/registry.py
+++ b/tarragonlift/core/fleet/registry.py
@@ -49,6 +49,8 @@
         self._unconfirmed: set[Source] = set()
         self._version = 0
         self.is_loaded = False
+        # When the list in use was read from the store, by any daemon.
+        self.read_at = -math.inf
 
     @property
     def servers(self) -> abc.Collection[FleetServer]:
@@ -69,6 +71,11 @@
         """Return the server with this identifier."""
         return self._servers.get(server_id)
 
+    def lists_start(self, start: models.ServerStart) -> bool:
+        """Return whether the list names this process of a server."""
+        server = self._servers.get(start.server_id)
+        return server is not None and server.start == start
+
     def set_services(
         self, services: abc.Mapping[str, models.FleetService]
     ) -> None:
--- a/tarragonlift/core/fleet/server.py
+++ b/tarragonlift/core/fleet/server.py
@@ -62,6 +62,11 @@
         """Return the identifier of the server's process."""
         return self.entry.server_id
 
+    @property
+    def start(self) -> models.ServerStart:
+        """Return which process of the server this is."""
+        return models.ServerStart(self.server_id, self.entry.started_ms)
+
     @property
     def slots(self) -> int:
         """Return how many requests the server runs in parallel."""
--- a/tests/components/gateway/test_fuzz.py
+++ b/tests/components/gateway/test_fuzz.py
@@ -12,6 +12,7 @@
 import pytest
 
 from tarragonlift.components.data_path import byte_limits
+from tarragonlift.components.gateway import crash_follower
 from tarragonlift.components.gateway import peer_messages
 from tarragonlift.components.gateway import rate_limit_follower
 from tarragonlift.core.fleet import list_view
@@ -66,9 +67,29 @@
 PACKED_LIMITS = strategies.one_of(
     VALUES, strategies.lists(LIMIT, max_size=4).map(pack)
 )
+END = strategies.one_of(
+    VALUES,
+    strategies.tuples(strategies.just("a"), SCALARS, strategies.floats()).map(
+        list
+    ),
+)
+PACKED_ENDS = strategies.one_of(
+    VALUES, strategies.lists(END, max_size=4).map(pack)
+)
+SUSPECT = strategies.one_of(
+    VALUES,
+    strategies.tuples(
+        strategies.just("print"), strategies.lists(END, max_size=4), SCALARS
+    ).map(list),
+)
+PACKED_SUSPECTS = strategies.one_of(
+    VALUES, strategies.lists(SUSPECT, max_size=4).map(pack)
+)
 MESSAGES = strategies.one_of(
     VALUES,
-    strategies.tuples(strategies.just("crash"), VALUES).map(list),
+    strategies.tuples(
+        strategies.just("crash"), PACKED_SUSPECTS, PACKED_ENDS, SCALARS
+    ).map(list),
     strategies.tuples(strategies.just("operators"), STATE, VALUES).map(list),
     strategies.tuples(
         strategies.just("list"),
@@ -131,7 +152,12 @@
             limits.on_notice(message)
             limits.tick(common.NOW)
         elif isinstance(message, peer_messages.CrashNotice):
-            fleet.crash_tracker.record_crash(message.fingerprint, common.NOW)
+            crashes = crash_follower.CrashFollower(
+                fleet_state.Clock(), fleet.crash_tracker
+            )
+            crashes.on_notice(message)
+            crashes.tick(common.NOW)
+            fleet.crash_tracker.count_held(common.NOW)
 
     @hypothesis.settings(max_examples=200, deadline=None)
     @hypothesis.given(strategies.binary(max_size=60))
--- a/tests/components/gateway/test_peer_messages.py
+++ b/tests/components/gateway/test_peer_messages.py
@@ -20,7 +20,21 @@
     @pytest.mark.parametrize(
         "message",
         [
-            peer_messages.CrashNotice("print"),
+            peer_messages.CrashNotice(
+                (
+                    peer_messages.StatedSuspect(
+                        "print",
+                        (
+                            peer_messages.StartAge(
+                                models.ServerStart("a", 7), 0.5
+                            ),
+                        ),
+                    ),
+                    peer_messages.StatedSuspect("other", (), 0.25),
+                ),
+                (peer_messages.StartAge(models.ServerStart("b", 8), 1.5),),
+                for_relay=True,
+            ),
             list_view.ListUpdate(
                 common.make_member("d"),
                 7,
--- a/tests/core/fleet/test_delivery.py
+++ b/tests/core/fleet/test_delivery.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import pytest
+
 from tarragonlift.core import actions
 from tarragonlift.core import const as core_const
 from tarragonlift.core.fleet import const
 from tarragonlift.core.fleet import delivery as delivery_module
+from tarragonlift.core.fleet import fleet as fleet_module
 from tarragonlift.core.fleet import interfaces
 from tarragonlift import exceptions
 from tests.core.fleet import common
@@ -215,32 +218,68 @@
 
     def test_is_held_after_max_crashes(self) -> None:
         """Refuse a request that crashed servers at any daemon."""
-        fleet = common.make_fleet(common.make_entry("a"))
-        for _ in range(const.MAX_CRASHES):
-            fleet.crash_tracker.record_crash("print", NOW)
+        names = ("a", "b", "c")
+        fleet = common.make_fleet(*(common.make_entry(n) for n in names))
+        assert len(names) == const.MAX_CRASHES
+        for server in fleet.registry.servers:
+            fleet.crash_tracker.record_break("print", server, NOW)
         common.report_load(fleet, "a")
         delivery = common.open_delivery(fleet)
         refusal = common.get_refusal(delivery.start(NOW)).refusal
         assert isinstance(refusal, exceptions.CrashSuspected)
 
-    def test_crash_is_reported_to_other_daemons(self) -> None:
-        """Report a connection that broke before an answer."""
-        fleet = common.make_fleet(common.make_entry("a"))
-        common.report_load(fleet, "a")
-        delivery = common.open_delivery(fleet, "/order/1")
-        attempt = common.get_attempt(delivery.start(NOW))
-        result = delivery.on_failed(attempt, Failure.BROKEN_BEFORE_ANSWER, NOW)
-        assert delivery_module.TellCrash("print") in result
+    @pytest.mark.parametrize(
+        "failure", [Failure.BROKEN_BEFORE_ANSWER, Failure.BROKEN_IN_ANSWER]
+    )
+    def test_crash_is_reported_to_other_daemons(
+        self, failure: Failure
+    ) -> None:
+        """Report a connection that broke in any part of an answer."""
+        fleet, delivery, attempt = self._send()
+        delivery.on_failed(attempt, failure, NOW)
+        (suspect,) = fleet.crash_tracker.take_changed()
+        assert suspect.fingerprint == "print"
+        assert list(suspect.ends) == [attempt.backend.start]
+
+    def test_crash_in_a_streamed_answer_is_reported(self) -> None:
+        """Report an answer that broke after its begin was relayed."""
+        fleet, delivery, attempt = self._send()
+        delivery.on_stream_begun(attempt, NOW)
+        delivery.on_failed(attempt, Failure.BROKEN_IN_ANSWER, NOW)
+        (suspect,) = fleet.crash_tracker.take_changed()
+        assert list(suspect.ends) == [attempt.backend.start]
+
+    @pytest.mark.parametrize("failure", [Failure.BAD_ANSWER, Failure.OVERDUE])
+    def test_connection_closed_by_this_side_is_no_crash(
+        self, failure: Failure
+    ) -> None:
+        """Don't count a connection that the daemon itself closed."""
+        fleet, delivery, attempt = self._send()
+        delivery.on_failed(attempt, failure, NOW)
+        assert not fleet.crash_tracker.suspects
 
     def test_answer_clears_the_suspicion(self) -> None:
         """Remove the crashes of an answered request."""
+        fleet, delivery, attempt = self._send()
+        fleet.crash_tracker.record_break("print", attempt.backend, NOW)
+        delivery.on_answer(attempt, Verdict.SUCCESS, NOW + 0.1)
+        assert not fleet.crash_tracker.suspects
+
+    def test_end_of_the_connection_clears_nothing(self) -> None:
+        """Keep the crashes if the answer's end may be a crash as well."""
+        fleet, delivery, attempt = self._send()
+        fleet.crash_tracker.record_break("print", attempt.backend, NOW)
+        delivery.on_answer(attempt, Verdict.SUCCESS, NOW + 0.1, False)
+        assert fleet.crash_tracker.suspects
+
+    def _send(
+        self,
+    ) -> tuple[fleet_module.Fleet, delivery_module.Delivery, actions.Attempt]:
+        """Send an order to the only server."""
         fleet = common.make_fleet(common.make_entry("a"))
-        fleet.crash_tracker.record_crash("print", NOW)
         common.report_load(fleet, "a")
-        delivery = common.open_delivery(fleet)
-        attempt = common.get_attempt(delivery.start(NOW))
-        delivery.on_answer(attempt, Verdict.SUCCESS, NOW + 0.1)
-        assert not fleet.crash_tracker.clear("print")
+        delivery = common.open_delivery(fleet, "/order/1")
+        return fleet, delivery, common.get_attempt(delivery.start(NOW))
 
 
 class TestOverload:
--- /dev/null
+++ b/tests/platform/test_crashes.py
@@ -0,0 +1,71 @@
+"""Requests that crash the servers that run them, on real sockets."""
+
+from __future__ import annotations
+
+from collections import abc
+import pathlib
+import time
+
+import pytest
+
+from tarragonlift.core.fleet import const
+from tests.platform import crashing
+from tests.platform import joining_stage
+
+HOSTS = joining_stage.HOSTS
+SERVERS = tuple(f"i-{number}" for number in range(6))
+# Time in seconds for a notice to reach the other daemons.
+NOTICE_S = 0.1
+
+
+@pytest.fixture
+def stage(tmp_path: pathlib.Path) -> abc.Iterator[crashing.CrashingStage]:
+    """Start a store, six servers and three daemons."""
+    stage = crashing.CrashingStage(tmp_path, *SERVERS)
+    try:
+        for host in HOSTS:
+            stage.serve_on(host)
+        yield stage
+    finally:
+        stage.close()
+
+
+def repeat(
+    stage: crashing.CrashingStage,
+    path: str,
+    times: int,
+    leave_after_s: float | None = None,
+    pause_s: float = NOTICE_S,
+) -> list[int]:
+    """Send a request to one daemon after the other; return the statuses."""
+    statuses = []
+    for number in range(times):
+        host = HOSTS[number % len(HOSTS)]
+        statuses.append(stage.send(host, path, leave_after_s))
+        time.sleep(pause_s)
+    return statuses
+
+
+class TestPartsOfTheAnswer:
+    """A server ends before, or in any part of, its answer."""
+
+    @pytest.mark.parametrize(
+        "part",
+        [
+            crashing.BEFORE_ANSWER,
+            "in the head",
+            "in a body with a length",
+            "in a body in chunks",
+            "in a body without a length",
+            "in a long body",
+        ],
+    )
+    def test_request_is_held_after_three_servers_ended(
+        self, stage: crashing.CrashingStage, part: str
+    ) -> None:
+        """Hold it back at all daemons, wherever each answer broke off."""
+        stage.set_crash(part)
+        statuses = repeat(stage, "/order/crash", 9)
+        assert stage.count_executed() == const.MAX_CRASHES
+        assert statuses[const.MAX_CRASHES :] == [503] * 6
+        assert stage.send(HOSTS[0], "/order/other") == 200
