Replace open calls for operators' changes that fell silent

Callers saw: after the store had given each daemon no answer for a while, a new configuration was in force about 12 s late everywhere; requests ran at the old service.

Cause: the answer to a call that waits for changes was lost, nothing ended its connection, and the daemon held for 26 s that it was waiting. An open call counted as working because nothing had ended it.

Change: a call is replaced when a change known from elsewhere does not come on it, and when another call is answered after one that was not. Who reads the list also asks whether operators changed anything, and tells all data centres; the age of the answer travels with the list. The client bounds the time to connect, closes idle connections after a call without an answer, and can end a call. Of daemons that read the list at the same moment one goes on, which pays for the questions.

Ruled out: shorter waits for all, which cost calls by the number of daemons; TCP keep-alive, as the store's host lives.

--- a/tarragonlift/components/gateway/operator_follower.py
+++ b/tarragonlift/components/gateway/operator_follower.py
@@ -42,7 +42,11 @@
         self._dependency = dependency.Dependency("operators", store_access.rng)
         self._document = b""
         self._is_reading = False
-        self._is_waiting = False
+        self._is_checking = False
+        self._open_call = operator_watch.OpenCall()
+        self._cancel_wait: interfaces.Cancel = _do_nothing
+        # When the store last told some daemon all changes up to then.
+        self.confirmed_at = -math.inf
         self._read_at = -math.inf
         self.outage = outage_watch.OutageWatch(self._fleet.members)
         # A full read is due when changes may have been missed or are no longer
@@ -52,6 +56,9 @@
         self._sent_at = -math.inf
         self._pending_state: models.OperatorState | None = None
         self.send: abc.Callable[[peer_messages.OperatorNotice], None] = _ignore
+        self.send_to_relays: abc.Callable[
+            [peer_messages.OperatorNotice], None
+        ] = _ignore
         self.on_store_reached: abc.Callable[[float], None] = _ignore_time
 
     def start(self, now: float) -> None:
@@ -65,8 +72,11 @@
 
         ``may_read_all`` is False while the store is known to be away.
         """
+        if self._open_call.is_replaced(now):
+            self._stop_waiting()
+            logs.log_status("silent_call", name="operators")
         if (
-            self._is_waiting
+            self._open_call.is_open
             and now - self._sent_at >= self._watch.heartbeat_interval_s
         ):
             self._send_notice(b"", now)
@@ -75,7 +85,7 @@
         if self._is_full_read_due:
             if may_read_all and self._may_try(now):
                 self._read_all()
-        elif not self._is_waiting and self._watch.is_due(now):
+        elif not self._open_call.is_open and self._watch.is_due(now):
             if self._may_try(now):
                 self._wait_for_changes()
 
@@ -105,8 +115,27 @@
         self._is_full_read_due = True
         self._is_reading = False
         self._retry_at = now
+        self._open_call.on_call_failed()
         self.tick(now)
 
+    def on_list_failed(self) -> None:
+        """Doubt the open call, as this daemon's read of the list failed."""
+        self._open_call.on_call_failed()
+
+    def on_list_read(self, now: float, leads: bool) -> None:
+        """Check for changes if due, as this daemon has just read the list.
+
+        ``leads`` is False if another daemon does so as well.
+        """
+        self._open_call.on_call_answered(now)
+        if not leads:
+            return
+        is_due = now - self.confirmed_at >= self._watch.check_interval_s
+        if is_due and not (
+            self._is_checking or self._is_reading or self._is_full_read_due
+        ):
+            self._check_for_changes()
+
     def on_notice(self, notice: peer_messages.OperatorNotice) -> None:
         """Apply a notice of a daemon of this data centre."""
         now = self._loop.now()
@@ -121,10 +150,18 @@
             self._is_full_read_due = False
             self._dependency.record_success(now)
 
-    def on_peer_state(self, state: models.OperatorState) -> None:
-        """Schedule a full read if another daemon knows a newer state."""
+    def on_peer_state(
+        self, state: models.OperatorState, age_s: float = math.inf
+    ) -> None:
+        """Schedule a full read if another daemon knows a newer state.
+
+        ``age_s`` is the time in seconds since the store told that daemon all
+        changes.
+        """
         if not self._fleet.is_behind(state):
             self._fleet.record_unchanged(state)
+            confirmed_at = self._loop.now() - age_s
+            self.confirmed_at = max(self.confirmed_at, confirmed_at)
             return
         if self._pending_state is not None:
             return
@@ -155,8 +192,7 @@
             self._on_failure(update, now)
             return
         self._is_full_read_due = False
-        self._dependency.record_success(now)
-        self.on_store_reached(now)
+        self._on_answer(now)
         if self._apply_update(update) and self._watch.is_due(now):
             self._send_notice(self._document, now)
         self._fleet.registry.confirm(registry.Source.OPERATORS)
@@ -164,26 +200,59 @@
 
     def _wait_for_changes(self) -> None:
         """Start a call that returns with the operators' next change."""
-        self._is_waiting = True
+        self._open_call.open()
         self._access.count_call()
         after = self._fleet.operators.store_version
-        self._store.await_operators(
+        self._cancel_wait = self._store.await_operators(
             after, const.MAX_CHANGES_WAIT_S, self._on_changes
         )
 
+    def _stop_waiting(self) -> None:
+        """End the open call without an answer."""
+        self._open_call.close()
+        self._cancel_wait()
+
     def _on_changes(self, update: interfaces.OperatorUpdate | Failure) -> None:
         """Apply the operators' change and send it to the data centre."""
         now = self._loop.now()
-        self._is_waiting = False
+        self._open_call.close()
         if isinstance(update, Failure):
             self._on_failure(update, now)
             return
-        self._dependency.record_success(now)
-        self.on_store_reached(now)
+        self._on_answer(now)
         if self._apply_update(update):
             self._send_notice(self._document, now)
         self.tick(now)
 
+    def _check_for_changes(self) -> None:
+        """Ask for what changed without waiting for it."""
+        self._is_checking = True
+        self._access.count_call()
+        after = self._fleet.operators.store_version
+        self._store.await_operators(after, 0.0, self._on_checked)
+
+    def _on_checked(self, update: interfaces.OperatorUpdate | Failure) -> None:
+        """Apply changes that no open call has delivered, and tell all."""
+        now = self._loop.now()
+        self._is_checking = False
+        if isinstance(update, Failure):
+            self._open_call.on_call_failed()
+            if isinstance(update, exceptions.PlatformHistoryLost):
+                self._is_full_read_due = True
+            return
+        self._on_answer(now)
+        if self._apply_update(update):
+            self._send_notice(self._document, now)
+            state = self._fleet.operators
+            self.send_to_relays(peer_messages.OperatorNotice(state))
+
+    def _on_answer(self, now: float) -> None:
+        """Record that the store told this daemon all changes."""
+        self._dependency.record_success(now)
+        self.confirmed_at = now
+        self.on_store_reached(now)
+        self._open_call.on_call_answered(now)
+
     def _on_failure(self, failure: Failure, now: float) -> None:
         """Schedule a full read after a delay."""
         self._is_full_read_due = True
@@ -227,7 +296,10 @@
                 out=sorted(self._fleet.registry.out_of_service),
                 store_version=update.store_version,
             )
-        return configuration_changed or out_changed
+        is_changed = configuration_changed or out_changed
+        if is_changed:
+            self._open_call.on_change_known(self._loop.now())
+        return is_changed
 
     def _send_notice(self, document: bytes, now: float) -> None:
         """Send the known state to the daemons of this data centre."""
@@ -236,6 +308,10 @@
         self.send(peer_messages.OperatorNotice(state, document))
 
 
+def _do_nothing() -> None:
+    """End no call; used until there is one."""
+
+
 def _ignore_time(when: float) -> None:
     """Ignore the time; used until a callback is set."""
 
--- a/tarragonlift/components/gateway/peer_messages.py
+++ b/tarragonlift/components/gateway/peer_messages.py
@@ -301,6 +301,7 @@
         message.complete,
         message.age_s,
         message.for_relay,
+        _encode_age(message.operators_age_s),
     ]
 
 
@@ -368,6 +369,7 @@
     complete: Any,
     age_s: Any,
     for_relay: Any,
+    operators_age_s: Any,
 ) -> list_view.ListUpdate:
     """Return the update of the server list that the fields encode."""
     return list_view.ListUpdate(
@@ -380,6 +382,7 @@
         _require(complete, bool),
         _decode_number(age_s),
         _require(for_relay, bool),
+        _decode_age(operators_age_s),
     )
 
 
@@ -475,12 +478,11 @@
 
 
 def _encode_suspect(suspect: StatedSuspect) -> list[Any]:
-    """Return the suspected request as plain data; None: not answered."""
-    age_s = suspect.answered_age_s
+    """Return the suspected request as plain data."""
     return [
         suspect.fingerprint,
         [_encode_start_age(end) for end in suspect.ends],
-        None if age_s == math.inf else age_s,
+        _encode_age(suspect.answered_age_s),
     ]
 
 
@@ -491,7 +493,7 @@
     return StatedSuspect(
         _require(fingerprint, str),
         tuple(_decode_start_age(*end) for end in _require(ends, list)),
-        math.inf if answered_age_s is None else _decode_number(answered_age_s),
+        _decode_age(answered_age_s),
     )
 
 
@@ -547,6 +549,16 @@
     return number
 
 
+def _encode_age(seconds: float) -> float | None:
+    """Return an age in seconds as plain data; None stands for infinity."""
+    return None if seconds == math.inf else seconds
+
+
+def _decode_age(value: Any) -> float:
+    """Return the age in seconds that the value encodes."""
+    return math.inf if value is None else _decode_number(value)
+
+
 def _decompress(data: Any) -> bytes:
     """Return the expanded data; raise ValueError beyond the size limit."""
     decompressor = zlib.decompressobj()
--- a/tarragonlift/components/gateway/store_follower.py
+++ b/tarragonlift/components/gateway/store_follower.py
@@ -59,6 +59,10 @@
         )
         self._server_follower = ServerFollower(store_access)
         self._server_follower.on_store_reached = self._on_store_reached
+        self._server_follower.on_read = self._operator_follower.on_list_read
+        self._server_follower.on_read_failed = (
+            self._operator_follower.on_list_failed
+        )
         self._operator_follower.on_store_reached = self._on_store_reached
         self.rate_limits = rate_limit_follower.RateLimitFollower(
             self._loop, store_access.fleet.registry
@@ -106,6 +110,7 @@
         self._send_to_relays = send_to_relays
         self._server_follower.send = self._send_update
         self._operator_follower.send = send_to_data_centre
+        self._operator_follower.send_to_relays = send_to_relays
         self._send_to_data_centre = send_to_data_centre
         self._joining.send_to = send_to
         self.crashes.send_to_data_centre = send_to_data_centre
@@ -164,7 +169,9 @@
                 self._send_to_data_centre(update)
             self._rows.add(message.member)
             if not self._is_waiting_for_state(self._loop.now()):
-                self._operator_follower.on_peer_state(message.operators)
+                self._operator_follower.on_peer_state(
+                    message.operators, message.operators_age_s
+                )
             self._server_follower.on_list_update(message)
         elif isinstance(message, peer_messages.JoinNotice):
             self._joining.on_join(message)
@@ -198,6 +205,8 @@
 
     def _send_update(self, update: list_view.ListUpdate) -> None:
         """Send an update to all daemons, once to each other data centre."""
+        age_s = self._loop.now() - self._operator_follower.confirmed_at
+        update = attrs.evolve(update, operators_age_s=age_s)
         self._send_to_data_centre(update)
         self._send_to_relays(attrs.evolve(update, for_relay=True))
 
@@ -277,6 +286,9 @@
         self._dependency = dependency.Dependency("servers", store_access.rng)
         self.send: abc.Callable[[list_view.ListUpdate], None] = _ignore
         self.on_store_reached: abc.Callable[[float], None] = _ignore_time
+        # Takes the time, and whether no daemon before this one reads the list.
+        self.on_read: abc.Callable[[float, bool], None] = _ignore_read
+        self.on_read_failed: abc.Callable[[], None] = _do_nothing
 
     def set_max_drain_delay(self, seconds: float) -> None:
         """Set within how many seconds a leaving server has to be known."""
@@ -331,6 +343,8 @@
             self._keep_missing(now, update.missing_kept_for_s)
         if self._list_view.apply(update):
             self._schedule.on_read(now - update.age_s)
+            if not update.complete:
+                self._schedule.on_peer_read(update.member.daemon, now)
             self._dependency.record_success(now)
             self.on_store_reached(now - update.age_s)
             self._apply_list(update.store_version, now)
@@ -348,6 +362,7 @@
         now = self._loop.now()
         self._is_reading = False
         if isinstance(result, Failure):
+            self.on_read_failed()
             daemons = len(self._fleet.members)
             self._retry_at = self._dependency.record_failure(
                 result, now, daemons
@@ -369,6 +384,7 @@
         self._apply_list(result.store_version, now)
         self._fleet.registry.confirm(registry.Source.SERVERS)
         self.send(self._make_update(changes, now))
+        self.on_read(now, self._schedule.leads(now))
 
     def _may_try(self, now: float) -> bool:
         """Return whether to read although others may try without success."""
@@ -412,6 +428,14 @@
     """Drop the message; used until a sender is set."""
 
 
+def _do_nothing() -> None:
+    """Do nothing; used until a callback is set."""
+
+
+def _ignore_read(now: float, leads: bool) -> None:
+    """Ignore a read; used until a callback is set."""
+
+
 def _ignore_time(when: float) -> None:
     """Ignore the time; used until a callback is set."""
 
--- a/tarragonlift/components/platform/client.py
+++ b/tarragonlift/components/platform/client.py
@@ -114,14 +114,15 @@
         etag: str = "",
         timeout_s: float = const.DEFAULT_TIMEOUT_S,
         content_type: str = "",
-    ) -> None:
+    ) -> abc.Callable[[], None]:
         """Send a request; the callback gets the response or the error.
 
-        The response must begin within ``timeout_s`` seconds.
+        The response must begin within ``timeout_s`` seconds. Returns a
+        function that ends the request without calling back.
         """
         if len(self._waiting) >= const.MAX_WAITING:
             callback(exceptions.PlatformUnavailable())
-            return
+            return _do_nothing
         head = (
             f"{method} {path} HTTP/1.1\r\nHost: {self._address}\r\n"
             f"Content-Length: {len(body)}\r\n"
@@ -137,6 +138,7 @@
         self._waiting.append(request)
         self.schedule_timeout(request)
         self._send_waiting()
+        return lambda: self._cancel(request)
 
     def schedule_timeout(self, request: _Request) -> None:
         """Check the request again at its deadline."""
@@ -185,6 +187,11 @@
         request.connection = connection
         self._in_flight.add(request)
         connection.send_request(request.data, request, is_head=False)
+        if not connection.is_established:
+            self._poller.timers.call_at(
+                time.monotonic() + const.CONNECT_TIMEOUT_S,
+                lambda now: self._check_connected(request, connection),
+            )
 
     def _acquire_connection(self) -> client.ClientConnection | None:
         """Return an idle connection or a new one."""
@@ -197,6 +204,30 @@
             return None
         return client.ClientConnection(self._poller, sock, self._address)
 
+    def _cancel(self, request: _Request) -> None:
+        """End a request and close its connection."""
+        if request.is_finished:
+            return
+        request.is_finished = True
+        self._in_flight.discard(request)
+        if request.connection is not None:
+            request.connection.abandon()
+        self._send_waiting()
+
+    def _check_connected(
+        self, request: _Request, connection: client.ClientConnection
+    ) -> None:
+        """Fail a request whose connection is not established in time."""
+        if not request.is_finished and not connection.is_established:
+            connection.abandon()
+            self.finish(request, exceptions.PlatformUnavailable())
+
+    def _close_idle(self) -> None:
+        """Close the idle connections: they may be silent as well."""
+        idle, self._idle_connections = self._idle_connections, []
+        for connection in idle:
+            connection.abandon()
+
     def _check_timeout(self, request: _Request) -> None:
         """Fail a request whose response did not arrive in time."""
         if request.is_finished:
@@ -211,4 +242,9 @@
             self.finish(request, exceptions.PlatformUnavailable())
             return
         connection.abandon()
+        self._close_idle()
         self.finish(request, exceptions.PlatformAnswerLost())
+
+
+def _do_nothing() -> None:
+    """End no request: it has failed already."""
--- a/tarragonlift/components/platform/const.py
+++ b/tarragonlift/components/platform/const.py
@@ -4,6 +4,8 @@
 
 # Seconds until a response must begin, unless the request sets a timeout.
 DEFAULT_TIMEOUT_S = 1.0
+# Seconds until a connection must be established: one repeated opening packet.
+CONNECT_TIMEOUT_S = 1.2
 # Seconds without data after which a response that has begun is abandoned:
 # long responses take more time in total over a slow link.
 IDLE_TIMEOUT_S = 0.5
--- a/tarragonlift/core/fleet/const.py
+++ b/tarragonlift/core/fleet/const.py
@@ -48,6 +48,12 @@
 WATCH_HEARTBEAT_SHARE = 0.2
 FIRST_TAKEOVER_SHARE = 0.5
 LAST_TAKEOVER_SHARE = 0.7
+# Share of the same time after which whoever reads the list also asks whether
+# operators changed anything: all open calls for changes may have gone silent.
+CHANGES_CHECK_SHARE = 0.45
+# Time in seconds within which an open call delivers a change that is known
+# from elsewhere; later it is replaced.
+CHANGE_LAG_S = 0.3
 # Shares of the same time after which a daemon that hears of newer changes
 # reads them at the store: a waiting daemon at once, others by rank if the
 # changes have not arrived from a waiting one.
@@ -183,6 +189,9 @@
 FIRST_READ_SHARE = 0.6
 LAST_CONTACT_READ_SHARE = 0.75
 FIRST_OTHER_READ_SHARE = 0.9
+# Share by which such a daemon reads later than one that read at the same
+# moment, so that only one of them goes on.
+YIELD_READ_SHARE = 0.05
 
 # Number of requests that all owners of a limited server may send at once: a
 # fixed one, and those of some seconds at the limit. There are as many owners,
--- a/tarragonlift/core/fleet/interfaces.py
+++ b/tarragonlift/core/fleet/interfaces.py
@@ -50,6 +50,8 @@
 ServersCallback = collections_abc.Callable[[ServerList | Failure], None]
 MembersCallback = collections_abc.Callable[[list[MemberRow] | Failure], None]
 WrittenCallback = collections_abc.Callable[[Failure | None], None]
+# Ends a call whose answer is not needed any more.
+Cancel = collections_abc.Callable[[], None]
 
 
 class FleetStore(abc.ABC):
@@ -62,10 +64,12 @@
     @abc.abstractmethod
     def await_operators(
         self, after: int, wait_s: float, callback: OperatorsCallback
-    ) -> None:
+    ) -> Cancel:
         """Wait for operators' changes after a version of the store.
 
-        Fails with PlatformHistoryLost if the store no longer has the changes.
+        A wait of 0 seconds returns at once what has changed. Fails with
+        PlatformHistoryLost if the store no longer has the changes. Returns a
+        function that ends the call without an answer.
         """
 
     @abc.abstractmethod
--- a/tarragonlift/core/fleet/list_view.py
+++ b/tarragonlift/core/fleet/list_view.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections import abc
+import math
 
 import attrs
 import xxhash
@@ -33,6 +34,8 @@
     are kept because the list was unavailable. A ``complete`` update holds all
     entries; ``age_s`` is the time in seconds since the list was read. An
     update ``for_relay`` is passed on to the receiver's data centre.
+    ``operators_age_s`` is the time in seconds since the store told all changes
+    by operators, infinite if it is not known.
     """
 
     member: members.Member
@@ -44,6 +47,7 @@
     complete: bool = False
     age_s: float = 0.0
     for_relay: bool = False
+    operators_age_s: float = math.inf
 
 
 class ListView:
--- a/tarragonlift/core/fleet/operator_watch.py
+++ b/tarragonlift/core/fleet/operator_watch.py
@@ -13,6 +13,49 @@
 from tarragonlift.core.fleet import members as members_module
 
 
+class OpenCall:
+    """Tells whether an open call for operators' changes still delivers them.
+
+    Load: connections that fall silent without an end, as the store turned this
+    daemon away for a while. Nothing shows on such a connection but the lack of
+    an answer, and a call for changes has none for a long time.
+    """
+
+    def __init__(self) -> None:
+        """Initialize without an open call."""
+        self.is_open = False
+        self._is_doubtful = False
+        self._replace_at = math.inf
+
+    def open(self) -> None:
+        """Record that a call was started."""
+        self.is_open = True
+        self._is_doubtful = False
+        self._replace_at = math.inf
+
+    def close(self) -> None:
+        """Record that the call has ended."""
+        self.is_open = False
+
+    def on_change_known(self, now: float) -> None:
+        """Record a change that the call has not delivered yet."""
+        due_at = now + const.CHANGE_LAG_S
+        self._replace_at = min(self._replace_at, due_at)
+
+    def on_call_failed(self) -> None:
+        """Record that another call of this daemon got no answer."""
+        self._is_doubtful = True
+
+    def on_call_answered(self, now: float) -> None:
+        """Record that another call of this daemon was answered."""
+        if self._is_doubtful:
+            self._replace_at = min(self._replace_at, now)
+
+    def is_replaced(self, now: float) -> bool:
+        """Return whether the call is to be replaced by a new one."""
+        return self.is_open and now >= self._replace_at
+
+
 class OperatorWatch:
     """Determines whether this daemon waits for changes itself."""
 
@@ -37,6 +80,11 @@
         position = self._members.local_rank / len(self._members.local_names)
         return self._max_delay_s * (first + share * position)
 
+    @property
+    def check_interval_s(self) -> float:
+        """Return the longest time that all open calls may go unchecked."""
+        return self._max_delay_s * const.CHANGES_CHECK_SHARE
+
     def set_max_delay(self, seconds: float) -> None:
         """Set the time in seconds within which a change must be known."""
         self._max_delay_s = seconds
--- a/tarragonlift/core/fleet/read_schedule.py
+++ b/tarragonlift/core/fleet/read_schedule.py
@@ -25,6 +25,8 @@
         self._members = members
         self._max_age_s = 0.0
         self._last_read_at = -math.inf
+        # When a daemon that precedes this one last read the list.
+        self._leader_read_at = -math.inf
         self._rank = ranking.CachedRank(KEY_LIST, members.own.daemon)
 
     def set_max_age(self, seconds: float) -> None:
@@ -45,6 +47,18 @@
         """Record a read by this daemon or by another one."""
         self._last_read_at = max(self._last_read_at, now)
 
+    def on_peer_read(self, daemon: str, when: float) -> None:
+        """Record which other daemon has read the list."""
+        if daemon < self._members.own.daemon:
+            self._leader_read_at = max(self._leader_read_at, when)
+
+    def leads(self, now: float) -> bool:
+        """Return whether this daemon is the first of those that read lately.
+
+        Daemons that are due at the same moment all read.
+        """
+        return now - self._leader_read_at > self._max_age_s
+
     def _delay_s(self) -> float:
         """Return this daemon's delay after a read in seconds."""
         names = self._members.names
@@ -53,4 +67,7 @@
         if self._members.is_store_contact:
             first = const.FIRST_READ_SHARE
             last = const.LAST_CONTACT_READ_SHARE
+            if not self.leads(self._last_read_at):
+                first += const.YIELD_READ_SHARE
+                last += const.YIELD_READ_SHARE
         return self._max_age_s * (first + (last - first) * position)
--- a/tarragonlift_lab/fleet_state.py
+++ b/tarragonlift_lab/fleet_state.py
@@ -17,6 +17,7 @@
 import msgpack
 
 from tarragonlift.components.gateway import access
+from tarragonlift.components.gateway import const
 from tarragonlift.components.gateway import peer_messages
 from tarragonlift.components.gateway import store_follower
 from tarragonlift.components import metrics
@@ -30,6 +31,9 @@
 
 TICK_S = 0.05
 STORE_DELAY_S = 0.004
+# Time limits in seconds of calls without an answer.
+READ_TIMEOUT_S = 0.6
+CHECK_TIMEOUT_S = 1.0
 LOCAL_DELAY_S = 0.0002
 REMOTE_DELAY_S = 0.0012
 MAX_DRAIN_DELAY_S = 3.0
@@ -115,6 +119,8 @@
         self.is_away = False
         # Daemons that can't reach the store.
         self.refused: set[str] = set()
+        # Daemons that get no answer; their open calls are lost for good.
+        self.silent: set[str] = set()
         self._waiting: list[tuple[str, abc.Callable[[Any], None]]] = []
 
     def push_configuration(self) -> None:
@@ -146,6 +152,28 @@
         self.refused = daemons
         self._fail_waiting()
 
+    def silence(self, daemons: set[str]) -> None:
+        """Give these daemons no answers from now on.
+
+        Their open calls stay silent also after the next change of this set.
+        """
+        self.silent = daemons
+        waiting, self._waiting = self._waiting, []
+        for daemon, callback in waiting:
+            if daemon in daemons:
+                self._time_out(callback, const.MAX_CHANGES_WAIT_S)
+            else:
+                self._waiting.append((daemon, callback))
+
+    def _time_out(
+        self, callback: abc.Callable[[Any], None], seconds: float
+    ) -> None:
+        """Fail a call without an answer at the caller's time limit."""
+        self.clock.call_at(
+            self.clock.now() + seconds,
+            lambda now: callback(exceptions.PlatformAnswerLost()),
+        )
+
     def _fail_waiting(self) -> None:
         """Fail the waiting calls of daemons that can't reach the store."""
         waiting, self._waiting = self._waiting, []
@@ -168,23 +196,41 @@
         daemon: str,
         callback: abc.Callable[[Any], None],
         make_result: abc.Callable[[], Any],
+        timeout_s: float = READ_TIMEOUT_S,
     ) -> None:
         """Answer a call after the store's delay, or fail it."""
         self.calls += 1
+        if daemon in self.silent:
+            self._time_out(callback, timeout_s)
+            return
         if self.is_away or daemon in self.refused:
             make_result = exceptions.PlatformUnavailable
         self._answer(callback, make_result)
 
     def wait(
         self, daemon: str, after: int, callback: abc.Callable[[Any], None]
-    ) -> None:
+    ) -> interfaces.Cancel:
         """Answer a call once operators wrote something newer."""
+        is_cancelled = False
+
+        def answer(result: Any) -> None:
+            if not is_cancelled:
+                callback(result)
+
+        def cancel() -> None:
+            nonlocal is_cancelled
+            is_cancelled = True
+
         is_failing = self.is_away or daemon in self.refused
         if is_failing or after < self.operators_version:
-            self.call(daemon, callback, self.operators)
-            return
+            self.call(daemon, answer, self.operators)
+            return cancel
         self.calls += 1
-        self._waiting.append((daemon, callback))
+        if daemon in self.silent:
+            self._time_out(answer, const.MAX_CHANGES_WAIT_S)
+        else:
+            self._waiting.append((daemon, answer))
+        return cancel
 
     def _answer(
         self,
@@ -212,9 +258,14 @@
 
     def await_operators(
         self, after: int, wait_s: float, callback: interfaces.OperatorsCallback
-    ) -> None:
+    ) -> interfaces.Cancel:
         """Wait for operators' changes after a version."""
-        self._state.wait(self._daemon, after, callback)
+        if not wait_s:
+            self._state.call(
+                self._daemon, callback, self._state.operators, CHECK_TIMEOUT_S
+            )
+            return lambda: None
+        return self._state.wait(self._daemon, after, callback)
 
     def decode_configuration(
         self, document: bytes
--- a/tests/components/gateway/test_fuzz.py
+++ b/tests/components/gateway/test_fuzz.py
@@ -102,6 +102,7 @@
         SCALARS,
         SCALARS,
         SCALARS,
+        SCALARS,
     ).map(list),
     strategies.tuples(strategies.just("join"), MEMBER, SCALARS).map(list),
     strategies.tuples(
--- a/tests/components/gateway/test_operator_follower.py
+++ b/tests/components/gateway/test_operator_follower.py
@@ -59,10 +59,11 @@
 
     def await_operators(
         self, after: int, wait_s: float, callback: interfaces.OperatorsCallback
-    ) -> None:
+    ) -> interfaces.Cancel:
         """Keep the callback."""
-        self.calls.append(f"await {after}")
+        self.calls.append(f"await {after}" if wait_s else f"check {after}")
         self.callbacks.append(callback)
+        return lambda: self.callbacks.remove(callback)
 
     def decode_configuration(
         self, document: bytes
--- a/tests/lab/test_fleet_state.py
+++ b/tests/lab/test_fleet_state.py
@@ -15,6 +15,8 @@
 MAX_OUTAGE_CALLS_PER_S = 6 * DATA_CENTRES
 # Time in seconds after an outage within which every daemon is up to date.
 CATCH_UP_S = 4.0
+# Time in seconds after a disruption from which bounds hold again.
+SETTLED_S = 3.0
 # Time in seconds after its expiry for which a daemon that left may be known:
 # a few reports to each seed.
 LEFT_KNOWN_S = 10 * const.JOIN_INTERVAL_S
@@ -113,6 +115,45 @@
             assert simulation.count_behind() == 0
 
 
+class TestSilentStore:
+    """The store gives daemons no answer while it serves the others."""
+
+    @pytest.mark.parametrize("daemons", [3, 18, 60, 312])
+    def test_change_after_silence_for_each_in_turn_is_known_in_time(
+        self, daemons: int
+    ) -> None:
+        """Know a change although every open call for changes was lost."""
+        simulation = start(daemons, seed=12)
+        names = sorted(item.member.daemon for item in simulation.alive)
+        third = -(-len(names) // 3)
+        for first in range(0, len(names), third):
+            simulation.store.silence(set(names[first : first + third]))
+            simulation.run(1.75)
+            simulation.store.push_configuration()
+            simulation.run(1.75)
+            simulation.store.silence(set())
+            simulation.run(0.5)
+        simulation.run(SETTLED_S)
+        simulation.store.push_configuration()
+        simulation.run(fleet_state.MAX_CONFIG_DELAY_S)
+        assert simulation.count_behind() == 0
+
+    @pytest.mark.parametrize("daemons", [3, 18, 60, 312])
+    def test_change_after_all_calls_fell_silent_is_known_in_time(
+        self, daemons: int
+    ) -> None:
+        """Know a change although nothing showed that the calls were lost."""
+        simulation = start(daemons, seed=13)
+        names = {item.member.daemon for item in simulation.alive}
+        simulation.store.silence(names)
+        simulation.store.silence(set())
+        simulation.run(SETTLED_S)
+        for _ in range(3):
+            simulation.store.push_configuration()
+            simulation.run(fleet_state.MAX_CONFIG_DELAY_S)
+            assert simulation.count_behind() == 0
+
+
 class TestCut:
     """A data centre is cut off from the others and from the store."""
 
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -115,6 +115,10 @@
         self.version = 0
         self.calls: list[str] = []
         self.is_unavailable = False
+        # While True, calls get no answer. Calls that were open when it began
+        # get none later either.
+        self.is_silent = False
+        self._silences = 0
         # Number of parts that responses are sent in, and the pause between
         # two parts.
         self.response_parts = 1
@@ -143,6 +147,7 @@
         path, _, query = request.target.partition("?")
         params = dict(urllib.parse.parse_qsl(query))
         self.calls.append(f"{path} {params.get('table', '')}".strip())
+        silences = self._silences
         if self.is_unavailable:
             writer.write(encode_response(503))
             return True
@@ -155,11 +160,18 @@
             document = self._read_rows(params["table"], 0, is_snapshot=True)
         else:
             document = await self._wait_for_changes(params)
+        if self.is_silent or self._silences != silences:
+            await asyncio.Event().wait()
         await self._send(
             encode_response(200, json.dumps(document).encode()), writer
         )
         return True
 
+    def silence(self) -> None:
+        """Give no answers until ``is_silent`` is reset."""
+        self.is_silent = True
+        self._silences += 1
+
     async def _send(self, data: bytes, writer: asyncio.StreamWriter) -> None:
         """Send a response in parts, as over a slow link."""
         part_length = -(-len(data) // self.response_parts)
