Keep missing entries only after an outage for all daemons

Callers saw: after one daemon had been cut from the store, all daemons used a removed server for longer than drain; some requests were cut when it exited.

Cause: a daemon took the first success after its own failed read for the end of an outage of the store, kept missing entries for 2 s and told all others to do the same.

Change: an outage is a time of 3 s or more without a read by any known daemon. Each daemon judges by the reads that it knows of; the message no longer tells others to keep entries. A pause of the process is none.

Ruled out: keeping entries at the disturbed daemon alone, which would still be wrong once it is in touch again.

--- a/tarragonlift/components/gateway/store_follower.py
+++ b/tarragonlift/components/gateway/store_follower.py
@@ -282,7 +282,6 @@
         self._read_at = -math.inf
         self._retry_at = -math.inf
         self.outage = outage_watch.OutageWatch(self._fleet.members)
-        self._missing_kept_until = -math.inf
         self._dependency = dependency.Dependency("servers", store_access.rng)
         self.send: abc.Callable[[list_view.ListUpdate], None] = _ignore
         self.on_store_reached: abc.Callable[[float], None] = _ignore_time
@@ -327,11 +326,12 @@
             list_view.ListChange(entry.server_id, entry)
             for entry in self._list_view.entries
         )
-        update = self._make_update(changes, now)
+        update = self._make_update(changes)
         return attrs.evolve(update, complete=True, age_s=age_s)
 
     def read_again(self) -> None:
         """Start a read now; an answer that is under way may be too old."""
+        self._schedule.on_pause()
         self._read()
 
     def on_list_update(self, update: list_view.ListUpdate) -> None:
@@ -339,10 +339,8 @@
         now = self._loop.now()
         if update.store_version < self._fleet.registry.version:
             return
-        if update.missing_kept_for_s > 0:
-            self._keep_missing(now, update.missing_kept_for_s)
         if self._list_view.apply(update):
-            self._schedule.on_read(now - update.age_s)
+            self._on_list_known(now - update.age_s)
             if not update.complete:
                 self._schedule.on_peer_read(update.member.daemon, now)
             self._dependency.record_success(now)
@@ -368,8 +366,7 @@
                 result, now, daemons
             )
             return
-        if self._dependency.record_success(now):
-            self._keep_missing(now, fleet_const.MISSING_KEPT_S)
+        self._dependency.record_success(now)
         if result.store_version < self._fleet.registry.version:
             self._retry_at = now + const.MIN_RETRY_INTERVAL_S
             return
@@ -380,10 +377,10 @@
             # The others know the list; its digest tells them that it is
             # still the same.
             changes = ()
-        self._schedule.on_read(now)
+        self._on_list_known(now)
         self._apply_list(result.store_version, now)
         self._fleet.registry.confirm(registry.Source.SERVERS)
-        self.send(self._make_update(changes, now))
+        self.send(self._make_update(changes))
         self.on_read(now, self._schedule.leads(now))
 
     def _may_try(self, now: float) -> bool:
@@ -391,7 +388,7 @@
         return not self._fleet.registry.is_loaded or self.outage.may_try(now)
 
     def _make_update(
-        self, changes: tuple[list_view.ListChange, ...], now: float
+        self, changes: tuple[list_view.ListChange, ...]
     ) -> list_view.ListUpdate:
         """Return an update of the list with these changes."""
         return list_view.ListUpdate(
@@ -399,14 +396,17 @@
             self._fleet.registry.version,
             self._list_view.digest,
             changes,
-            max(0.0, self._missing_kept_until - now),
             self._fleet.operators,
         )
 
-    def _keep_missing(self, now: float, seconds: float) -> None:
-        """Keep missing entries for a while after the list was unavailable."""
-        self._missing_kept_until = max(self._missing_kept_until, now + seconds)
-        self._fleet.registry.keep_missing(self._missing_kept_until)
+    def _on_list_known(self, read_at: float) -> None:
+        """Record a read, and keep missing entries if it ends an outage."""
+        if self._schedule.ends_outage(read_at):
+            logs.log_status("list_outage", ended=True)
+            self._fleet.registry.keep_missing(
+                read_at + fleet_const.MISSING_KEPT_S
+            )
+        self._schedule.on_read(read_at)
 
     def _apply_list(self, store_version: int, now: float) -> None:
         """Apply the newest list to the registry and log the changes."""
--- a/tarragonlift/core/fleet/const.py
+++ b/tarragonlift/core/fleet/const.py
@@ -182,6 +182,11 @@
 # be read are kept once it can be read again; the platform lists running
 # servers again within two seconds.
 MISSING_KEPT_S = 2.0
+# Time in seconds without a read by any daemon that counts as such an outage,
+# and its minimum as a multiple of the maximum age of the list: an entry
+# expires after three heartbeats of 1.5 s.
+MIN_OUTAGE_S = 3.0
+OUTAGE_AGE_FACTOR = 1.2
 # Shares of the maximum age of the list after which the first daemon in order
 # and the last one that waits for operators' changes read it, and after which
 # all others follow until the maximum age. Those that read first tell the
--- a/tarragonlift/core/fleet/list_view.py
+++ b/tarragonlift/core/fleet/list_view.py
@@ -30,10 +30,9 @@
 class ListUpdate:
     """Changes of the list that a daemon sends after reading it.
 
-    ``missing_kept_for_s`` is the time in seconds for which missing entries
-    are kept because the list was unavailable. A ``complete`` update holds all
-    entries; ``age_s`` is the time in seconds since the list was read. An
-    update ``for_relay`` is passed on to the receiver's data centre.
+    A ``complete`` update holds all entries; ``age_s`` is the time in seconds
+    since the list was read. An update ``for_relay`` is passed on to the
+    receiver's data centre.
     ``operators_age_s`` is the time in seconds since the store told all changes
     by operators, infinite if it is not known.
     """
@@ -42,7 +41,6 @@
     store_version: int
     digest: int
     changes: tuple[ListChange, ...]
-    missing_kept_for_s: float
     operators: models.OperatorState
     complete: bool = False
     age_s: float = 0.0
--- a/tarragonlift/core/fleet/read_schedule.py
+++ b/tarragonlift/core/fleet/read_schedule.py
@@ -25,6 +25,7 @@
         self._members = members
         self._max_age_s = 0.0
         self._last_read_at = -math.inf
+        self._is_paused = False
         # When a daemon that precedes this one last read the list.
         self._leader_read_at = -math.inf
         self._rank = ranking.CachedRank(KEY_LIST, members.own.daemon)
@@ -46,6 +47,23 @@
     def on_read(self, now: float) -> None:
         """Record a read by this daemon or by another one."""
         self._last_read_at = max(self._last_read_at, now)
+        self._is_paused = False
+
+    def on_pause(self) -> None:
+        """Record a pause of this process, which is no outage of the store."""
+        self._is_paused = True
+
+    def ends_outage(self, read_at: float) -> bool:
+        """Return whether nobody could read the list for long before a read.
+
+        Reads by other daemons count, so trouble of one daemon is no outage.
+        """
+        if self._is_paused or self._last_read_at == -math.inf:
+            return False
+        min_outage_s = max(
+            const.MIN_OUTAGE_S, self._max_age_s * const.OUTAGE_AGE_FACTOR
+        )
+        return read_at - self._last_read_at >= min_outage_s
 
     def on_peer_read(self, daemon: str, when: float) -> None:
         """Record which other daemon has read the list."""
--- a/tarragonlift_lab/fleet_state.py
+++ b/tarragonlift_lab/fleet_state.py
@@ -121,6 +121,8 @@
         self.refused: set[str] = set()
         # Daemons that get no answer; their open calls are lost for good.
         self.silent: set[str] = set()
+        # The daemon that read the list of servers last.
+        self.last_reader = ""
         self._waiting: list[tuple[str, abc.Callable[[Any], None]]] = []
 
     def push_configuration(self) -> None:
@@ -278,6 +280,8 @@
     ) -> None:
         """Read the list of servers."""
         state = self._state
+        if self._daemon not in state.refused | state.silent:
+            state.last_reader = self._daemon
         state.call(
             self._daemon,
             callback,
--- a/tests/components/gateway/test_fuzz.py
+++ b/tests/components/gateway/test_fuzz.py
@@ -97,7 +97,6 @@
         SCALARS,
         SCALARS,
         PACKED_CHANGES,
-        SCALARS,
         STATE,
         SCALARS,
         SCALARS,
@@ -135,9 +134,6 @@
             view.apply(message)
             fleet.add_member(message.member)
             fleet.is_behind(message.operators)
-            fleet.registry.keep_missing(
-                common.NOW + message.missing_kept_for_s
-            )
         elif isinstance(message, peer_messages.OperatorNotice):
             fleet.is_behind(message.state)
         elif isinstance(message, peer_messages.MemberList):
--- a/tests/components/gateway/test_peer_messages.py
+++ b/tests/components/gateway/test_peer_messages.py
@@ -43,8 +43,8 @@
                     list_view.ListChange("a", common.make_entry("a")),
                     list_view.ListChange("b", None),
                 ),
-                1.5,
                 models.OperatorState(9, 4, ("here",)),
+                operators_age_s=1.5,
             ),
             peer_messages.OperatorNotice(
                 models.OperatorState(9, 4, ("here",))
--- a/tests/lab/test_fleet_state.py
+++ b/tests/lab/test_fleet_state.py
@@ -154,6 +154,56 @@
             assert simulation.count_behind() == 0
 
 
+class TestMissingEntries:
+    """Entries that go missing from the list, beside trouble at the store."""
+
+    @pytest.mark.parametrize("daemons", [3, 18, 312])
+    @pytest.mark.parametrize("is_silent", [False, True])
+    def test_server_leaves_in_time_after_trouble_of_one_member(
+        self, daemons: int, is_silent: bool
+    ) -> None:
+        """Don't keep a removed server as one daemon had lost the store."""
+        simulation = start(daemons, seed=14)
+        store = simulation.store
+        disrupt = store.silence if is_silent else store.refuse
+        cuts_s = (1.0, 1.3, 1.6, 1.9, 2.2, 2.5)
+        for number, cut_s in enumerate(cuts_s):
+            disrupted = store.last_reader
+            disrupt({disrupted})
+            simulation.run(cut_s)
+            disrupt(set())
+            store.set_server(None, f"i-{number}")
+            simulation.run(fleet_state.MAX_DRAIN_DELAY_S)
+            late = [
+                item.member.daemon
+                for item in simulation.alive
+                if item.member.daemon != disrupted
+                and item.fleet.registry.get(f"i-{number}") is not None
+            ]
+            assert late == []
+            simulation.run(4.0)
+
+    @pytest.mark.parametrize("daemons", [3, 60])
+    def test_servers_stay_in_use_after_an_outage_for_all(
+        self, daemons: int
+    ) -> None:
+        """Keep a server whose entry expired while nobody reached the store."""
+        simulation = start(daemons, seed=15)
+        before = [item.fleet.registry.get("i-1") for item in simulation.alive]
+        server = simulation.store.servers["i-1"]
+        simulation.store.set_away(True)
+        simulation.run(3.0)
+        simulation.store.set_server(None, "i-1")
+        simulation.run(1.5)
+        simulation.store.set_away(False)
+        simulation.run(1.5)
+        simulation.store.set_server(server, "i-1")
+        simulation.run(4.0)
+        assert all(entry is not None for entry in before)
+        after = [item.fleet.registry.get("i-1") for item in simulation.alive]
+        assert after == before
+
+
 class TestCut:
     """A data centre is cut off from the others and from the store."""
 
