Count the end of a server that nobody waited for

Callers saw: a request that ends servers after its caller left, or after the route's timeout, was sent on for ever; sound requests there got 502.

Cause: a delivery that was done ignored how its attempts ended, and what the daemon closed itself was forgotten at once.

Change: breaks count whatever the caller has by then. Requests whose connection the daemon closed are remembered by server and count if that server ends within 10 s: it breaks off another request, refuses a connection, or is listed as a new process that was not leaving.

Ruled out: counting closed connections as ends, which would blame each hedged lookup for its slower server.

--- a/tarragonlift/components/gateway/crash_follower.py
+++ b/tarragonlift/components/gateway/crash_follower.py
@@ -51,6 +51,7 @@
 
     def tick(self, now: float) -> None:
         """Tell the others what this daemon has seen since the last tick."""
+        self._tracker.check_ends(now)
         suspects = self._tracker.take_changed()
         survivors = self._tracker.take_survivors()
         if not suspects and not survivors:
--- a/tarragonlift/core/fleet/const.py
+++ b/tarragonlift/core/fleet/const.py
@@ -154,6 +154,10 @@
 # attributed to the request, and the number of answers that are remembered.
 ANSWER_TTL_S = 5.0
 MAX_REMEMBERED_ANSWERS = 512
+# Time in seconds for which a request counts whose connection was closed before
+# its server ended, and the number of them for each server.
+LEFT_REQUEST_TTL_S = 10.0
+MAX_LEFT_REQUESTS = 64
 # Time in seconds before its end for which a server's connection must have
 # been established to show that it did not end: daemons learn of an end later.
 MIN_SURVIVED_S = 1.0
--- a/tarragonlift/core/fleet/crashes.py
+++ b/tarragonlift/core/fleet/crashes.py
@@ -79,6 +79,10 @@
         self._answers: collections.OrderedDict[str, float] = (
             collections.OrderedDict()
         )
+        # Requests whose connection this daemon closed, with the time, by the
+        # server that may still run them.
+        self._left: dict[FleetServer, dict[str, float]] = {}
+        self._checked_version = 0
         # What the other daemons are to be told.
         self._changed: dict[str, None] = {}
         self._survivors: dict[ServerStart, float] = {}
@@ -113,6 +117,42 @@
         """Record that a server broke off a request that it ran."""
         if self._record_end(fingerprint, server.start, now):
             self._changed[fingerprint] = None
+        self.record_unreachable(server, now)
+
+    def record_left(
+        self, fingerprint: str, server: FleetServer, now: float
+    ) -> None:
+        """Record a request that a server may run on without a connection.
+
+        It counts if the server ends within a while.
+        """
+        left = self._left.setdefault(server, {})
+        left.pop(fingerprint, None)
+        left[fingerprint] = now
+        if len(left) > const.MAX_LEFT_REQUESTS:
+            del left[next(iter(left))]
+
+    def record_unreachable(self, server: FleetServer, now: float) -> None:
+        """Record that a server may have ended with what was left there."""
+        since = now - const.LEFT_REQUEST_TTL_S
+        for fingerprint, left_at in self._left.pop(server, {}).items():
+            if left_at < since:
+                continue
+            if self._record_end(fingerprint, server.start, now):
+                self._changed[fingerprint] = None
+
+    def check_ends(self, now: float) -> None:
+        """Find servers that the list names as new processes."""
+        if self._registry.version == self._checked_version:
+            return
+        self._checked_version = self._registry.version
+        since = now - const.LEFT_REQUEST_TTL_S
+        for server, left in list(self._left.items()):
+            is_back = self._registry.get(server.server_id) is not None
+            if server.is_gone and is_back and not server.entry.leaving:
+                self.record_unreachable(server, now)
+            elif server.is_gone or max(left.values()) < since:
+                del self._left[server]
 
     def record_answer(self, fingerprint: str, now: float) -> None:
         """Record a complete answer, which clears the request."""
--- a/tarragonlift/core/fleet/delivery.py
+++ b/tarragonlift/core/fleet/delivery.py
@@ -182,6 +182,8 @@
                 self._context.crash_tracker.record_answer(
                     self.fingerprint, now
                 )
+        if verdict in (Verdict.FAILURE, Verdict.INVALID) or not is_delimited:
+            self._record_left(attempt, now)
         if self._phase is Phase.DONE:
             return []
         if verdict is Verdict.SUCCESS:
@@ -215,9 +217,11 @@
 
     def on_stream_ended(self, now: float, is_delimited: bool) -> None:
         """Record the end of the answer that was relayed as it arrived."""
-        self._streamed = None
+        attempt, self._streamed = self._streamed, None
         if is_delimited:
             self._context.crash_tracker.record_answer(self.fingerprint, now)
+        elif attempt is not None:
+            self._record_left(attempt, now)
 
     def on_failed(
         self, attempt: Attempt, failure: Failure, now: float
@@ -232,9 +236,9 @@
             return []
         self._end_attempt(attempt, now)
         attempt.backend.record_failure(now)
+        self._record_break(attempt, failure, now)
         if self._phase is Phase.DONE:
             return []
-        self._record_break(attempt, failure, now)
         if failure in core_const.FAILURES_NOT_RUN:
             return self._after_not_run(now)
         self._may_have_run += 1
@@ -242,6 +246,9 @@
 
     def on_caller_gone(self, now: float) -> Actions:
         """Stop, but let a request that is not idempotent run to its end."""
+        if self._streamed is not None:
+            self._record_left(self._streamed, now)
+            self._streamed = None
         if self._phase is Phase.DONE:
             return []
         self._phase = Phase.DONE
@@ -433,6 +440,7 @@
         result: Actions = []
         for attempt in list(self._attempts):
             self._end_attempt(attempt, now)
+            self._record_left(attempt, now)
             result.append(actions.Abandon(attempt))
         return result
 
@@ -470,10 +478,19 @@
         self, attempt: Attempt, failure: Failure, now: float
     ) -> None:
         """Record that a server may have ended because of the request."""
+        tracker = self._context.crash_tracker
         if failure in core_const.FAILURES_BROKEN:
-            self._context.crash_tracker.record_break(
-                self.fingerprint, attempt.backend, now
-            )
+            tracker.record_break(self.fingerprint, attempt.backend, now)
+        elif failure is Failure.CONNECT_FAILED:
+            tracker.record_unreachable(attempt.backend, now)
+        elif failure not in core_const.FAILURES_NOT_RUN:
+            tracker.record_left(self.fingerprint, attempt.backend, now)
+
+    def _record_left(self, attempt: Attempt, now: float) -> None:
+        """Record that the attempt's server may still run the request."""
+        self._context.crash_tracker.record_left(
+            self.fingerprint, attempt.backend, now
+        )
 
     def _record_unanswered(self, now: float) -> None:
         """Record that servers have not answered yet."""
--- a/tests/core/fleet/test_crashes.py
+++ b/tests/core/fleet/test_crashes.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from tarragonlift.core.fleet import const
 from tarragonlift.core.fleet import crashes
 from tarragonlift.core.fleet import fleet as fleet_module
@@ -145,6 +147,67 @@
         assert tracker.is_held(PRINT, NOW)
 
 
+class TestLeftRequests:
+    """Requests that servers ran on after their connections were closed."""
+
+    @staticmethod
+    def _leave(fleet: fleet_module.Fleet) -> crashes.CrashTracker:
+        """Leave the request at three servers."""
+        for name in ("a", "b", "c"):
+            server = get_server(fleet, name)
+            fleet.crash_tracker.record_left(PRINT, server, NOW)
+        return fleet.crash_tracker
+
+    def test_counts_once_the_servers_are_unreachable(self) -> None:
+        """Count servers that refuse connections soon after."""
+        fleet = make_fleet()
+        tracker = self._leave(fleet)
+        assert not tracker.suspects
+        for name in ("a", "b", "c"):
+            tracker.record_unreachable(get_server(fleet, name), NOW + 0.1)
+        assert tracker.is_held(PRINT, NOW + 0.1)
+
+    def test_counts_once_other_requests_break_off(self) -> None:
+        """Count servers that break off another request."""
+        fleet = make_fleet()
+        tracker = self._leave(fleet)
+        for name in ("a", "b", "c"):
+            server = get_server(fleet, name)
+            tracker.record_break("other-" + name, server, NOW + 0.1)
+        assert tracker.is_held(PRINT, NOW + 0.1)
+
+    @pytest.mark.parametrize("leaving", [False, True])
+    def test_counts_once_the_servers_are_listed_as_new(
+        self, leaving: bool
+    ) -> None:
+        """Count servers that started again, but for planned leaving."""
+        fleet = make_fleet()
+        old = [common.make_entry(name, leaving=leaving) for name in NAMES]
+        fleet.registry.set_entries(2, old, NOW)
+        tracker = self._leave(fleet)
+        new = [common.make_entry(name, started_ms=2) for name in NAMES]
+        fleet.registry.set_entries(3, new, NOW + 3.0)
+        tracker.check_ends(NOW + 3.0)
+        assert tracker.is_held(PRINT, NOW + 3.0) != leaving
+
+    def test_removed_servers_do_not_count(self) -> None:
+        """Ignore servers that leave by the removal of their entries."""
+        fleet = make_fleet()
+        tracker = self._leave(fleet)
+        fleet.registry.set_entries(2, [], NOW + 1.0)
+        tracker.check_ends(NOW + 1.0)
+        assert not tracker.suspects
+
+    def test_end_long_after_does_not_count(self) -> None:
+        """Ignore a server that ends when it no longer runs the request."""
+        fleet = make_fleet()
+        tracker = self._leave(fleet)
+        later = NOW + const.LEFT_REQUEST_TTL_S + 0.1
+        for name in ("a", "b", "c"):
+            tracker.record_unreachable(get_server(fleet, name), later)
+        assert not tracker.suspects
+
+
 class TestTrials:
     """Requests that are let through although they are held back."""
 
--- a/tests/core/fleet/test_delivery.py
+++ b/tests/core/fleet/test_delivery.py
@@ -241,6 +241,33 @@
         assert suspect.fingerprint == "print"
         assert list(suspect.ends) == [attempt.backend.start]
 
+    def test_crash_after_the_caller_left_is_reported(self) -> None:
+        """Report the end of a server that ran an order for nobody."""
+        fleet, delivery, attempt = self._send()
+        delivery.on_caller_gone(NOW)
+        delivery.on_failed(attempt, Failure.BROKEN_BEFORE_ANSWER, NOW + 0.1)
+        (suspect,) = fleet.crash_tracker.take_changed()
+        assert list(suspect.ends) == [attempt.backend.start]
+
+    def test_crash_after_the_time_limit_is_reported(self) -> None:
+        """Report the end of a server whose caller has its refusal."""
+        fleet, delivery, attempt = self._send()
+        common.get_refusal(delivery.on_wake(NOW + 1.0))
+        delivery.on_failed(attempt, Failure.BROKEN_BEFORE_ANSWER, NOW + 1.1)
+        (suspect,) = fleet.crash_tracker.take_changed()
+        assert list(suspect.ends) == [attempt.backend.start]
+
+    @pytest.mark.parametrize("failure", [Failure.BAD_ANSWER, Failure.OVERDUE])
+    def test_crash_after_the_daemon_gave_up_is_reported(
+        self, failure: Failure
+    ) -> None:
+        """Report a server that ends soon after its connection was closed."""
+        fleet, delivery, attempt = self._send()
+        delivery.on_failed(attempt, failure, NOW)
+        fleet.crash_tracker.record_unreachable(attempt.backend, NOW + 0.1)
+        (suspect,) = fleet.crash_tracker.take_changed()
+        assert list(suspect.ends) == [attempt.backend.start]
+
     def test_crash_in_a_streamed_answer_is_reported(self) -> None:
         """Report an answer that broke after its begin was relayed."""
         fleet, delivery, attempt = self._send()
--- a/tests/platform/crashing.py
+++ b/tests/platform/crashing.py
@@ -183,11 +183,12 @@
         The caller closes its connection after ``leave_after_s`` seconds.
         """
         method = "POST" if path.startswith("/order") else "GET"
+        body = b"order" if method == "POST" else b""
         name = f"r-{next(self._numbers)}"
         with common.connect(self.addresses[host]) as sock:
             if leave_after_s is not None:
                 sock.settimeout(leave_after_s)
-            sock.sendall(common.encode_request(path, name, method, b"order"))
+            sock.sendall(common.encode_request(path, name, method, body))
             try:
                 return standin.parse_status(common.read_response(sock))
             except (TimeoutError, ConnectionResetError):
--- a/tests/platform/test_crashes.py
+++ b/tests/platform/test_crashes.py
@@ -16,6 +16,8 @@
 SERVERS = tuple(f"i-{number}" for number in range(6))
 # Time in seconds for a notice to reach the other daemons.
 NOTICE_S = 0.1
+# Time in seconds within which a server crashes, is back and is listed again.
+LISTED_S = 2.2
 # Time in seconds after a start from which rules hold for a daemon.
 LEARNED_S = 3.0
 
@@ -89,3 +91,30 @@
             time.sleep(LEARNED_S)
             assert stage.send(host, "/order/crash") == 503
         assert stage.count_executed() == const.MAX_CRASHES
+
+
+class TestLateCrashes:
+    """Servers that end when nobody waits for the answer any more."""
+
+    @pytest.mark.parametrize(
+        ("path", "leave_after_s", "crash_after_s"),
+        [
+            # An order runs on after its caller left.
+            ("/order/crash", 0.05, 0.15),
+            # The daemon closes the connection of a lookup first.
+            ("/look/crash", 0.05, 0.15),
+            # The caller has its answer at the route's timeout.
+            ("/order/crash", None, 1.7),
+        ],
+    )
+    def test_request_is_held_though_nobody_waited(
+        self,
+        stage: crashing.CrashingStage,
+        path: str,
+        leave_after_s: float | None,
+        crash_after_s: float,
+    ) -> None:
+        """Hold it back once three servers have ended with it."""
+        stage.set_crash(crashing.BEFORE_ANSWER, crash_after_s)
+        repeat(stage, path, 6, leave_after_s, pause_s=LISTED_S)
+        assert stage.count_executed() == const.MAX_CRASHES
