Bound figures of servers, and refuse requests whose decision fails

Callers saw: after one server's answer with a load of 1e308, or a rate limit of 1e308, a daemon answered next to no request any more.

Cause: the figures passed the decoder, sums and quotients overflowed in a decision, and the exception came before the request's time limit was set. Daemons told the limit to each other.

A decision that fails is logged with the request's id, and its caller is refused at once: 503 if nothing was sent, else 502.

--- a/tarragonlift/components/gateway/exchange.py
+++ b/tarragonlift/components/gateway/exchange.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import abc
 import math
 import time
 
@@ -16,6 +17,7 @@
 from tarragonlift.components.gateway import const
 from tarragonlift.components.gateway import exchange_owner
 from tarragonlift.components.gateway import heads
+from tarragonlift.components import logs
 from tarragonlift.core import actions
 from tarragonlift.core import const as core_const
 from tarragonlift.core.fleet import delivery as delivery_module
@@ -102,6 +104,22 @@
             return
         self._owner.on_rate_limit(run.attempt.backend, per_s)
 
+    def decide(
+        self, step: abc.Callable[[float], list[actions.Action]]
+    ) -> None:
+        """Run a step of the delivery and carry out its actions.
+
+        A step that fails ends the request, so that the caller does not wait.
+        """
+        now = time.monotonic()
+        try:
+            action_list = step(now)
+        except Exception as error:
+            request_id = self._delivery.request.request_id
+            logs.log_error(error, request=request_id)
+            action_list = self._delivery.on_error(now)
+        self.run(action_list)
+
     def run(self, action_list: list[actions.Action]) -> None:
         """Carry out the actions in order."""
         for action in action_list:
@@ -164,11 +182,11 @@
             # wrong.
             refusal = exceptions.BackendFailed(core_const.Outcome.UNKNOWN)
         self._refuse(refusal)
-        self.run(self._delivery.on_body_broken(time.monotonic()))
+        self.decide(self._delivery.on_body_broken)
 
     def on_process_ending(self, now: float) -> None:
         """Answer the caller; a response that is being streamed ends early."""
-        self.run(self._delivery.on_process_ending(now))
+        self.decide(self._delivery.on_process_ending)
 
     def on_writable(self) -> None:
         """Resume reading responses."""
@@ -185,9 +203,9 @@
                 self._owner.note(self, "caller_gone", streaming=True)
                 self._abandon_attempt(run.attempt)
         if self._is_body_complete:
-            self.run(self._delivery.on_caller_gone(time.monotonic()))
+            self.decide(self._delivery.on_caller_gone)
         else:
-            self.run(self._delivery.on_body_broken(time.monotonic()))
+            self.decide(self._delivery.on_body_broken)
 
     def get_max_body_bytes(self, run: attempt_run.AttemptRun) -> float:
         """Return the limit of a body that is not streamed to the caller."""
@@ -244,8 +262,9 @@
         )
         if run.is_streaming:
             self._abort_caller_connection()
-        now = time.monotonic()
-        self.run(self._delivery.on_failed(run.attempt, failure, now))
+        self.decide(
+            lambda now: self._delivery.on_failed(run.attempt, failure, now)
+        )
 
     def _start(self) -> None:
         """Start the delivery; the body is complete or too long to buffer."""
@@ -254,7 +273,7 @@
         self._is_started = True
         self._delivery.body_bytes = self._body_bytes
         self._delivery.fingerprint = self._fingerprint()
-        self.run(self._delivery.start(time.monotonic()))
+        self.decide(self._delivery.start)
 
     def _fingerprint(self) -> str:
         """Return a hash that identifies repetitions of the request.
@@ -300,9 +319,10 @@
                 verdict=verdict.value,
                 after_ms=_to_ms(now - run.attempt.started_at),
             )
-        self.run(
-            self._delivery.on_answer(
-                run.attempt, verdict, now, head.is_framed or self._is_head
+        is_delimited = head.is_framed or self._is_head
+        self.decide(
+            lambda now: self._delivery.on_answer(
+                run.attempt, verdict, now, is_delimited
             )
         )
 
@@ -321,7 +341,9 @@
         connection = self._owner.acquire_connection(attempt, may_reuse)
         if connection is None:
             failure = Failure.CONNECT_FAILED
-            self.run(self._delivery.on_failed(attempt, failure, now))
+            self.decide(
+                lambda now: self._delivery.on_failed(attempt, failure, now)
+            )
             return
         run = attempt_run.AttemptRun(self, attempt, connection)
         self._runs[attempt] = run
@@ -392,8 +414,9 @@
         run.is_streaming = True
         self._log_answered(run)
         self._write_response_head(run, None)
-        now = time.monotonic()
-        self.run(self._delivery.on_stream_begun(run.attempt, now))
+        self.decide(
+            lambda now: self._delivery.on_stream_begun(run.attempt, now)
+        )
         data, run.body = b"".join(run.body), []
         self._stream_response(run, data)
 
--- a/tarragonlift/components/gateway/gateway.py
+++ b/tarragonlift/components/gateway/gateway.py
@@ -327,8 +327,7 @@
         def resume() -> None:
             if not probe_round.is_ended:
                 probe_round.is_ended = True
-                now = time.monotonic()
-                exchange.run(exchange.delivery.on_probes_done(now))
+                exchange.decide(exchange.delivery.on_probes_done)
 
         def on_probed() -> None:
             probe_round.pending -= 1
@@ -343,12 +342,12 @@
     def _wake(self, exchange: Exchange, now: float) -> None:
         """Wake a delivery if it is still in progress."""
         if exchange in self._exchanges:
-            exchange.run(exchange.delivery.on_wake(now))
+            exchange.decide(exchange.delivery.on_wake)
 
     def _end_pause(self, exchange: Exchange, now: float) -> None:
         """Let a delivery look for a server with capacity again."""
         if exchange in self._exchanges:
-            exchange.run(exchange.delivery.on_pause_over(now))
+            exchange.decide(exchange.delivery.on_pause_over)
 
     def _sweep(self, now: float) -> None:
         """Check timeouts of callers, exchanges and pooled connections."""
--- a/tarragonlift/components/gateway/peer_messages.py
+++ b/tarragonlift/components/gateway/peer_messages.py
@@ -22,6 +22,7 @@
 from tarragonlift.core.fleet import list_view
 from tarragonlift.core.fleet import members as members_module
 from tarragonlift.core.fleet import models
+from tarragonlift.core.fleet import rate_limit
 from tarragonlift.core import models as core_models
 from tarragonlift import exceptions
 
@@ -550,12 +551,20 @@
     return StatedLimit(
         _require(server_id, str),
         _require(started_ms, int),
-        math.inf if per_s is None else _decode_number(per_s),
+        math.inf if per_s is None else _decode_rate_limit(per_s),
         _decode_number(age_s),
         _require(in_health, bool),
     )
 
 
+def _decode_rate_limit(value: Any) -> float:
+    """Return a limit per second; raise ValueError if it is not plausible."""
+    per_s = float(value)
+    if not rate_limit.is_plausible(per_s):
+        raise ValueError(f"{value!r} is no rate limit")
+    return per_s
+
+
 def _require(value: Any, kind: type[T]) -> T:
     """Return the value if it has the type; raise TypeError if not."""
     if not isinstance(value, kind):
--- a/tarragonlift/core/fleet/const.py
+++ b/tarragonlift/core/fleet/const.py
@@ -7,6 +7,14 @@
 # about two.
 MAX_REPORT_AGE_S = 0.03
 
+# Bounds of a plausible load report: requests or slots of one server, and how
+# many times as long work takes as usual.
+MAX_LOAD_COUNT = 100_000
+MIN_SLOWDOWN = 0.01
+MAX_SLOWDOWN = 10_000.0
+# Highest rate limit per second of a server that is taken for one.
+MAX_RATE_LIMIT_PER_S = 1e6
+
 # Number of daemons of a data centre that wait for operators' changes: changes
 # arrive late only if all of them fail at once.
 MAX_WATCHERS = 2
--- a/tarragonlift/core/fleet/delivery.py
+++ b/tarragonlift/core/fleet/delivery.py
@@ -271,6 +271,18 @@
             return self._give_up(exceptions.Stopping(Outcome.NOT_RUN))
         return self._expire(now)
 
+    def on_error(self, now: float) -> Actions:
+        """Refuse the request after one of its decisions failed."""
+        if self._phase is Phase.DONE:
+            return []
+        if not self._attempts:
+            return self._give_up(exceptions.NoBackendServer(Outcome.NOT_RUN))
+        abandoned = (
+            self._abandon_all(now) if self._request.route.idempotent else []
+        )
+        refusal = exceptions.BackendFailed(Outcome.UNKNOWN)
+        return abandoned + self._refuse(refusal)
+
     @property
     def _budget(self) -> budget.ExtraCallBudget:
         """Return the extra call budget of the request's service."""
--- a/tarragonlift/core/fleet/models.py
+++ b/tarragonlift/core/fleet/models.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from tarragonlift.core.fleet import const
 from tarragonlift.core import models
 
 Address = models.Address
@@ -126,6 +127,18 @@
     slots: int
     slowdown: float = 1.0
 
+    @property
+    def is_plausible(self) -> bool:
+        """Return whether a server may send such figures.
+
+        Decisions add, multiply and divide them, so that they have bounds.
+        """
+        counts = (self.running, self.waiting, self.slots)
+        return (
+            all(0 <= count <= const.MAX_LOAD_COUNT for count in counts)
+            and const.MIN_SLOWDOWN <= self.slowdown <= const.MAX_SLOWDOWN
+        )
+
 
 @attrs.frozen
 class Health:
--- a/tarragonlift/core/fleet/rate_limit.py
+++ b/tarragonlift/core/fleet/rate_limit.py
@@ -22,6 +22,11 @@
 from tarragonlift.core.fleet import const
 
 
+def is_plausible(per_s: float) -> bool:
+    """Return whether a server may state this limit per second."""
+    return 0.0 <= per_s <= const.MAX_RATE_LIMIT_PER_S
+
+
 @attrs.frozen
 class SharedRate:
     """A rate per second of all daemons, and the number of its owners.
--- a/tests/components/gateway/test_peer_messages.py
+++ b/tests/components/gateway/test_peer_messages.py
@@ -89,6 +89,11 @@
             ["list", 1],
             ["crash"],
             ["operators", [1, 1, []], b"x"],
+            [
+                "rate-limits",
+                peer_messages._pack([["a", 1, 1e308, 0.0, True]]),
+                False,
+            ],
             7,
         ],
     )
--- a/tests/core/fleet/test_delivery.py
+++ b/tests/core/fleet/test_delivery.py
@@ -309,6 +309,27 @@
         return fleet, delivery, common.get_attempt(delivery.start(NOW))
 
 
+class TestErrors:
+    """A decision about a request that fails with an unexpected error."""
+
+    def test_request_that_was_not_sent_is_refused(self) -> None:
+        """Tell the caller that the request did not run."""
+        fleet = common.make_fleet(common.make_entry("a"))
+        delivery = common.open_delivery(fleet, "/order/1")
+        refusal = common.get_refusal(delivery.on_error(NOW)).refusal
+        assert refusal.outcome is core_const.Outcome.NOT_RUN
+
+    def test_request_that_was_sent_may_have_run(self) -> None:
+        """Answer 502; the order may run on."""
+        fleet = common.make_fleet(common.make_entry("a"))
+        common.report_load(fleet, "a")
+        delivery = common.open_delivery(fleet, "/order/1")
+        delivery.start(NOW)
+        result = delivery.on_error(NOW)
+        assert common.get_refusal(result).refusal.status == 502
+        assert not common.filter_actions(result, actions.Abandon)
+
+
 class TestOverload:
     """More requests than the servers can answer in time."""
 
--- a/tests/platform/test_fuzz.py
+++ b/tests/platform/test_fuzz.py
@@ -14,12 +14,14 @@
 
 from tarragonlift.components.data_path import client as http_client
 from tarragonlift.components.platform import client
+from tarragonlift.core import actions
 from tarragonlift.core.fleet import interfaces
 from tarragonlift import exceptions
 from tarragonlift_platform import dialect
 from tarragonlift_platform import documents
 from tarragonlift_platform import store as store_module
 from tarragonlift_platform import units
+from tests.core.fleet import common as core_common
 from tests.platform import standin
 
 JSON = strategies.recursive(
@@ -201,7 +203,8 @@
             strategies.binary(max_size=12),
             strategies.lists(
                 strategies.sampled_from(
-                    (b"1", b"6", b"-1", b"nan", b"inf", b"1e400", b"x", b"")
+                    (b"1", b"6", b"0", b"-1", b"nan", b"inf", b"1e400")
+                    + (b"1e308", b"1e17", b"1e-308", b"9" * 500, b"x", b"")
                 ),
                 max_size=5,
             ).map(b",".join),
@@ -222,3 +225,42 @@
             report = health.load
             assert min(report.running, report.waiting, report.slots) >= 0
             assert 0.0 < report.slowdown < math.inf
+
+    @hypothesis.settings(max_examples=300, deadline=None)
+    @hypothesis.given(
+        strategies.lists(
+            strategies.sampled_from(
+                (b"0", b"1", b"6", b"100", b"1e5", b"1e17", b"1e-308")
+                + (b"1e6", b"1e308", b"nan", b"-1")
+            ),
+            min_size=3,
+            max_size=4,
+        ).map(b",".join),
+        strategies.sampled_from(
+            (b"0", b"1", b"1e-308", b"1e6", b"1e17", b"1e308", b"nan", b"-1")
+        ),
+    )
+    def test_any_report_leaves_other_servers_in_use(
+        self, load: bytes, limit: bytes
+    ) -> None:
+        """Decide on a request whatever one of two servers reports."""
+        head = http_client.ResponseHead(
+            200, [(b"X-Instance-Load", load), (b"Server-Limit", limit)]
+        )
+        health = dialect.PlatformDialect().health_report(head)
+        fleet = core_common.make_fleet(
+            core_common.make_entry("a"), core_common.make_entry("b")
+        )
+        now = core_common.NOW
+        server = fleet.registry.get("a")
+        assert server is not None
+        server.update_load(health.load, now)
+        if health.rate_limit is not None:
+            observed = server.rate_limit.observe(health.rate_limit, True, now)
+            fleet.registry.set_rate_limit(server, observed, now)
+        core_common.report_load(fleet, "b")
+        delivery = core_common.open_delivery(fleet, "/order/1")
+        delivery.start(now)
+        result = delivery.on_probes_done(now)
+        sends = core_common.filter_actions(result, actions.Send)
+        assert sends or delivery.sent
