--- a/tarragonlift/core/models.py
+++ b/tarragonlift/core/models.py
@@ -32,8 +32,12 @@
         """
         address = cls.parse(text)
         parts = address.host.split(".")
-        is_ipv4 = len(parts) == 4 and all(
-            part.isdecimal() and int(part) <= MAX_OCTET for part in parts
+        is_ipv4 = (
+            len(parts) == 4
+            and address.host.isascii()
+            and all(
+                part.isdecimal() and int(part) <= MAX_OCTET for part in parts
+            )
         )
         if not is_ipv4 or not 0 <= address.port <= MAX_PORT:
             raise ValueError(f"{text!r} is not IPv4:port")
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -87,6 +87,29 @@
         with pytest.raises(documents.UnreadableDocument):
             documents.decode_server("i-1", json.dumps(document).encode())
 
+    @pytest.mark.parametrize(
+        "server_id", ["", "a b", "a\r\nX-Other: 1", "a\0", "\u20ac", "a\x7f"]
+    )
+    def test_id_that_no_header_field_holds_is_unreadable(
+        self, server_id: str
+    ) -> None:
+        """Refuse an id that would add header fields to a request."""
+        entry = standin.BackendServer("a").make_entry("127.0.0.1:1")
+        with pytest.raises(documents.UnreadableDocument):
+            documents.decode_server(server_id, json.dumps(entry).encode())
+
+    @pytest.mark.parametrize(
+        "address",
+        ["127.0.0.1:70000", "\u0661.0.0.1:1", "127.0.0.1", "h\0.0.0.1:1"],
+    )
+    def test_address_that_no_socket_takes_is_unreadable(
+        self, address: str
+    ) -> None:
+        """Refuse an address to which no connection can be opened."""
+        entry = standin.BackendServer("a").make_entry(address)
+        with pytest.raises(documents.UnreadableDocument):
+            documents.decode_server("a", json.dumps(entry).encode())
+
     def test_bytes_without_document_are_unreadable(self) -> None:
         """Raise UnreadableDocument for bytes that are not JSON."""
         with pytest.raises(documents.UnreadableDocument):
@@ -119,6 +142,17 @@
         assert decoded.limits.idle_timeout_s == 15.0
 
 
+class TestVersions:
+    """Versions of configurations that messages between daemons can't hold."""
+
+    @pytest.mark.parametrize("version", [1e300, 1 << 63, -1, "7", None])
+    def test_odd_version_is_unreadable(self, version: object) -> None:
+        """Refuse the configuration."""
+        document = {**standin.configuration(3), "version": version}
+        with pytest.raises(documents.UnreadableDocument):
+            documents.decode_configuration(json.dumps(document).encode())
+
+
 class TestDialect:
     """Header fields and statuses."""
 
