Send nothing to a server that says in an answer that it leaves

Callers sent on requests to servers later than drain after a daemon had passed on an answer that said that the server leaves: nothing read that field. An answer or health check now counts like the entry, at once and until another process of the server is listed. If all servers of a service say so, they are used for 1 s more, as nobody else is there.

Not measured: whether daemons should tell each other (docs/design/leaving.md).

--- a/tarragonlift/components/gateway/dialect.py
+++ b/tarragonlift/components/gateway/dialect.py
@@ -70,6 +70,10 @@
         None stands for a malformed value.
         """
 
+    @abc.abstractmethod
+    def says_leaving(self, head: client.ResponseHead) -> bool:
+        """Return whether the server says that it leaves."""
+
     @abc.abstractmethod
     def is_health_response(self, head: client.ResponseHead) -> bool:
         """Return whether the response answers a health check."""
--- a/tarragonlift/components/gateway/exchange.py
+++ b/tarragonlift/components/gateway/exchange.py
@@ -88,7 +88,7 @@
         return is_own
 
     def on_response_head(self, run: attempt_run.AttemptRun) -> None:
-        """Report the rate limit that the server states.
+        """Report the rate limit and the leaving that the server states.
 
         Another server at the same address says nothing about this one, and a
         refusal without a limit does not end one.
@@ -98,9 +98,11 @@
         verdict = dialect.classify_response(run.head)
         per_s = dialect.rate_limit(run.head)
         is_signed = verdict in (Verdict.SUCCESS, Verdict.FAILURE)
-        if verdict is Verdict.MISPLACED or (
-            per_s == math.inf and not is_signed
-        ):
+        if verdict is Verdict.MISPLACED:
+            return
+        if dialect.says_leaving(run.head):
+            self._owner.on_leaving(run.attempt.backend)
+        if per_s == math.inf and not is_signed:
             return
         self._owner.on_rate_limit(run.attempt.backend, per_s)
 
--- a/tarragonlift/components/gateway/exchange_owner.py
+++ b/tarragonlift/components/gateway/exchange_owner.py
@@ -60,6 +60,10 @@
     ) -> None:
         """Handle the rate limit stated in a response; None if malformed."""
 
+    @abc.abstractmethod
+    def on_leaving(self, server: server_module.FleetServer) -> None:
+        """Handle a response that says that the server leaves."""
+
     @abc.abstractmethod
     def note(
         self,
--- a/tarragonlift/components/gateway/gateway.py
+++ b/tarragonlift/components/gateway/gateway.py
@@ -63,6 +63,7 @@
             metrics,
             self._on_health_rate_limit,
             self.on_server_response,
+            self.on_leaving,
         )
         self._stopping_since: float | None = None
         self._accept_until = float("inf")
@@ -210,6 +211,12 @@
         """Record the rate limit stated in a response to a request."""
         self._record_rate_limit(server, per_s, in_health=False)
 
+    def on_leaving(self, server: server_module.FleetServer) -> None:
+        """Send nothing more to a server that says that it leaves."""
+        if server.record_leaving(time.monotonic()):
+            self._metrics.count("leaving_stated")
+            logs.log_status("server", server=server.server_id, leaving=True)
+
     def note(self, exchange: Exchange, decision: str, **facts: object) -> None:
         """Log a decision about the request and count it."""
         delivery = exchange.delivery
--- a/tarragonlift/components/gateway/prober.py
+++ b/tarragonlift/components/gateway/prober.py
@@ -83,9 +83,11 @@
         metrics: recorder.Recorder,
         on_rate_limit: RateLimitCallback,
         on_response: ResponseCallback,
+        on_leaving: abc.Callable[[FleetServer], None],
     ) -> None:
         """Initialize the prober with the pool for its connections."""
         self._on_response = on_response
+        self._on_leaving = on_leaving
         self._on_rate_limit = on_rate_limit
         self._poller = poller
         self._pool = pool
@@ -137,6 +139,8 @@
                 misplaced=new_state[2],
                 said_by=health.server_id,
             )
+        if not server.is_misplaced and self._dialect.says_leaving(head):
+            self._on_leaving(server)
         if not server.is_misplaced:
             self._on_rate_limit(server, health.rate_limit)
         self._pool.release_connection(probe.connection)
--- a/tarragonlift/core/fleet/const.py
+++ b/tarragonlift/core/fleet/const.py
@@ -199,6 +199,9 @@
 # expires after three heartbeats of 1.5 s.
 MIN_OUTAGE_S = 3.0
 OUTAGE_AGE_FACTOR = 1.2
+# Time in seconds for which a server that said in an answer that it leaves is
+# used if there is no other: half of the shortest time that users allow.
+LAST_USE_S = 1.0
 # Shares of the maximum age of the list after which the first daemon in order
 # and the last one that waits for operators' changes read it, and after which
 # all others follow until the maximum age. Those that read first tell the
--- a/tarragonlift/core/fleet/crashes.py
+++ b/tarragonlift/core/fleet/crashes.py
@@ -149,7 +149,7 @@
         since = now - const.LEFT_REQUEST_TTL_S
         for server, left in list(self._left.items()):
             is_back = self._registry.get(server.server_id) is not None
-            if server.is_gone and is_back and not server.entry.leaving:
+            if server.is_gone and is_back and not server.is_leaving:
                 self.record_unreachable(server, now)
             elif server.is_gone or max(left.values()) < since:
                 del self._left[server]
--- a/tarragonlift/core/fleet/registry.py
+++ b/tarragonlift/core/fleet/registry.py
@@ -136,8 +136,12 @@
         return changes
 
     def usable_servers(self, service: str) -> list[FleetServer]:
-        """Return a service's servers that may get new requests."""
-        return [
+        """Return a service's servers that may get new requests.
+
+        If all of them leave, they are those that said so in answers alone:
+        ``can_send`` bounds how long they are used.
+        """
+        usable = [
             server
             for server in self._by_service.get(service, ())
             if not server.entry.leaving
@@ -145,6 +149,8 @@
             and not server.is_misplaced
             and server.entry.data_centre not in self._out_of_service
         ]
+        staying = [server for server in usable if not server.is_leaving]
+        return staying or usable
 
     def can_send(self, server: FleetServer, now: float) -> bool:
         """Return whether a request may be sent to the server now.
@@ -159,6 +165,8 @@
             return False
         if server.entry.data_centre in self._out_of_service:
             return False
+        if now >= server.said_leaving_at + const.LAST_USE_S:
+            return False
         rate = self._shared_rate(server, now)
         if rate is None:
             return True
--- a/tarragonlift/core/fleet/server.py
+++ b/tarragonlift/core/fleet/server.py
@@ -49,6 +49,8 @@
     is_misplaced: bool = False
     # True once the server is no longer listed.
     is_gone: bool = False
+    # When the server first said in an answer that it leaves.
+    said_leaving_at: float = math.inf
     mean_latency_ratio: latency.DecayingMean = attrs.field(
         factory=_new_latency_ratio
     )
@@ -62,6 +64,20 @@
         """Return the identifier of the server's process."""
         return self.entry.server_id
 
+    @property
+    def is_leaving(self) -> bool:
+        """Return whether its entry or an answer says that it leaves.
+
+        Neither is taken back before another process starts.
+        """
+        return self.entry.leaving or self.said_leaving_at < math.inf
+
+    def record_leaving(self, now: float) -> bool:
+        """Record an answer that says so; return whether it is the first."""
+        is_first = self.said_leaving_at == math.inf
+        self.said_leaving_at = min(self.said_leaving_at, now)
+        return is_first
+
     @property
     def start(self) -> models.ServerStart:
         """Return which process of the server this is."""
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -246,6 +246,8 @@
         # empty text states none.
         self.rate_limit = ""
         self.states_limit_in_health = True
+        # True if all responses say that the server leaves.
+        self.leaves = False
         # Returns the bytes sent in place of a response in the modes "altered,
         # close" and "altered, reset".
         self.alter_response: abc.Callable[[bytes], bytes] = bytes
@@ -287,11 +289,12 @@
             writer.write(encode_response(503, X_Not_Executed="1"))
         self._used_connections.add(writer)
         load = {"X_Instance_Load": self.load}
+        leaving = {"Server_Leaving": "1"} if self.leaves else {}
         if request.target == "/health":
             if self.mode == "shed health":
                 writer.write(encode_response(503, X_Not_Executed="1"))
                 return True
-            fields = {"X_Instance_Id": self.server_id, **load}
+            fields = {"X_Instance_Id": self.server_id, **load, **leaving}
             if self.rate_limit and self.states_limit_in_health:
                 fields["Server_Limit"] = self.rate_limit
             response = encode_response(200, **fields)
@@ -305,7 +308,11 @@
             writer.write(encode_response(421, X_Request_Id=request_id))
             return True
         if self.mode == "shed":
-            fields = {"X_Request_Id": request_id, "X_Not_Executed": "1"}
+            fields = {
+                "X_Request_Id": request_id,
+                "X_Not_Executed": "1",
+                **leaving,
+            }
             writer.write(encode_response(503, **fields))
             return True
         if self.mode == "own refusal again":
@@ -349,6 +356,8 @@
         """Send the response of the mode; return whether to keep open."""
         body = f"{self.server_id} {request.target}".encode()
         fields = {"X_Request_Id": request_id, "X_Server_Signature": "s.1"}
+        if self.leaves:
+            fields["Server_Leaving"] = "1"
         if self.rate_limit:
             fields["Server_Limit"] = self.rate_limit
         response = encode_response(200, body, **fields)
