Keep the pause that a server asks for when it turns a request away

Callers were refused one after the other by servers that had asked for a pause: nothing read Retry-After of a server's 503, and up to 60 requests reached one server from one daemon within the asked time.

Change: the registry, which also decides about cold, limited and leaving servers, sends nothing to the server until then; daemons return spread over a quarter of the pause, with one request at first. If all servers of a service pause, callers are refused at once and told when the first is back.

--- a/tarragonlift/components/gateway/dialect.py
+++ b/tarragonlift/components/gateway/dialect.py
@@ -74,6 +74,13 @@
     def says_leaving(self, head: client.ResponseHead) -> bool:
         """Return whether the server says that it leaves."""
 
+    @abc.abstractmethod
+    def pause_s(self, head: client.ResponseHead) -> float | None:
+        """Return the seconds for which the server wants nothing, 0 for none.
+
+        None stands for a malformed value.
+        """
+
     @abc.abstractmethod
     def is_health_response(self, head: client.ResponseHead) -> bool:
         """Return whether the response answers a health check."""
--- a/tarragonlift/components/gateway/exchange.py
+++ b/tarragonlift/components/gateway/exchange.py
@@ -88,7 +88,7 @@
         return is_own
 
     def on_response_head(self, run: attempt_run.AttemptRun) -> None:
-        """Report the rate limit and the leaving that the server states.
+        """Report the rate limit, leaving and pause that the server states.
 
         Another server at the same address says nothing about this one, and a
         refusal without a limit does not end one.
@@ -102,6 +102,7 @@
             return
         if dialect.says_leaving(run.head):
             self._owner.on_leaving(run.attempt.backend)
+        self._owner.on_pause(run.attempt.backend, dialect.pause_s(run.head))
         if per_s == math.inf and not is_signed:
             return
         self._owner.on_rate_limit(run.attempt.backend, per_s)
--- a/tarragonlift/components/gateway/exchange_owner.py
+++ b/tarragonlift/components/gateway/exchange_owner.py
@@ -64,6 +64,12 @@
     def on_leaving(self, server: server_module.FleetServer) -> None:
         """Handle a response that says that the server leaves."""
 
+    @abc.abstractmethod
+    def on_pause(
+        self, server: server_module.FleetServer, seconds: float | None
+    ) -> None:
+        """Handle the pause that a response asks for; None if malformed."""
+
     @abc.abstractmethod
     def note(
         self,
--- a/tarragonlift/components/gateway/gateway.py
+++ b/tarragonlift/components/gateway/gateway.py
@@ -64,6 +64,7 @@
             self._on_health_rate_limit,
             self.on_server_response,
             self.on_leaving,
+            self.on_pause,
         )
         self._stopping_since: float | None = None
         self._accept_until = float("inf")
@@ -217,6 +218,22 @@
             self._metrics.count("leaving_stated")
             logs.log_status("server", server=server.server_id, leaving=True)
 
+    def on_pause(
+        self, server: server_module.FleetServer, seconds: float | None
+    ) -> None:
+        """Send nothing to a server for as long as it asks for."""
+        if seconds is None:
+            self._metrics.count("pauses.malformed")
+        elif seconds > 0.0:
+            now = time.monotonic()
+            self._fleet.registry.record_pause(server, seconds, now)
+            self._metrics.count("pauses.stated")
+            logs.log_status(
+                "server",
+                server=server.server_id,
+                pause_s=round(server.paused_until - now, 3),
+            )
+
     def note(self, exchange: Exchange, decision: str, **facts: object) -> None:
         """Log a decision about the request and count it."""
         delivery = exchange.delivery
--- a/tarragonlift/components/gateway/prober.py
+++ b/tarragonlift/components/gateway/prober.py
@@ -84,10 +84,12 @@
         on_rate_limit: RateLimitCallback,
         on_response: ResponseCallback,
         on_leaving: abc.Callable[[FleetServer], None],
+        on_pause: abc.Callable[[FleetServer, float | None], None],
     ) -> None:
         """Initialize the prober with the pool for its connections."""
         self._on_response = on_response
         self._on_leaving = on_leaving
+        self._on_pause = on_pause
         self._on_rate_limit = on_rate_limit
         self._poller = poller
         self._pool = pool
@@ -141,6 +143,8 @@
             )
         if not server.is_misplaced and self._dialect.says_leaving(head):
             self._on_leaving(server)
+        if not server.is_misplaced:
+            self._on_pause(server, self._dialect.pause_s(head))
         if not server.is_misplaced:
             self._on_rate_limit(server, health.rate_limit)
         self._pool.release_connection(probe.connection)
--- a/tarragonlift/components/gateway/rate_limit_follower.py
+++ b/tarragonlift/components/gateway/rate_limit_follower.py
@@ -117,8 +117,10 @@
                 server.rate_limit.applies(now) or server in self._due_notices
             ):
                 self._forget(server)
-            elif server.rate_limit.in_health and (
-                self._registry.is_first_owner(server, now)
+            elif (
+                server.rate_limit.in_health
+                and server.takes_requests(now)
+                and self._registry.is_first_owner(server, now)
             ):
                 self.check(server)
 
--- a/tarragonlift/core/fleet/const.py
+++ b/tarragonlift/core/fleet/const.py
@@ -202,6 +202,13 @@
 # Time in seconds for which a server that said in an answer that it leaves is
 # used if there is no other: half of the shortest time that users allow.
 LAST_USE_S = 1.0
+# Longest pause in seconds of a server that is taken for one.
+MAX_PAUSE_S = 3600.0
+# Share of a pause, and longest time in seconds, over which daemons return to a
+# server after it, and the number of different times.
+PAUSE_SPREAD_SHARE = 0.25
+MAX_PAUSE_SPREAD_S = 1.0
+PAUSE_SPREAD_STEPS = 16
 # Shares of the maximum age of the list after which the first daemon in order
 # and the last one that waits for operators' changes read it, and after which
 # all others follow until the maximum age. Those that read first tell the
--- a/tarragonlift/core/fleet/delivery.py
+++ b/tarragonlift/core/fleet/delivery.py
@@ -327,6 +327,13 @@
         """Wait until a server may accept the request."""
         if self._tried and not self._attempts:
             self._tried.clear()
+        resumes_at = self._context.registry.resumes_at(
+            self._request.service, now
+        )
+        if resumes_at is not None:
+            return self._give_up(
+                exceptions.NoBackendServer(Outcome.NOT_RUN, resumes_at - now)
+            )
         return self._wait_or_refuse(
             exceptions.NoBackendServer(Outcome.NOT_RUN), now
         )
--- a/tarragonlift/core/fleet/registry.py
+++ b/tarragonlift/core/fleet/registry.py
@@ -167,6 +167,8 @@
             return False
         if now >= server.said_leaving_at + const.LAST_USE_S:
             return False
+        if not server.takes_requests(now):
+            return False
         rate = self._shared_rate(server, now)
         if rate is None:
             return True
@@ -175,6 +177,31 @@
         tolerance_s = rate.tolerance_s(len(self._owners(server, rate)))
         return now >= server.next_send_at - tolerance_s
 
+    def record_pause(
+        self, server: FleetServer, seconds: float, now: float
+    ) -> None:
+        """Send nothing to a server for as long as it asks for, and a bit more.
+
+        Daemons return at different times, as pauses may begin together.
+        """
+        own = self._members.own.daemon
+        spread = server.rank_key(own) % const.PAUSE_SPREAD_STEPS
+        spread_s = min(
+            seconds * const.PAUSE_SPREAD_SHARE, const.MAX_PAUSE_SPREAD_S
+        )
+        spread_s *= spread / const.PAUSE_SPREAD_STEPS
+        server.record_pause(now + seconds + spread_s)
+
+    def resumes_at(self, service: str, now: float) -> float | None:
+        """Return when the first server of a service takes requests again.
+
+        None if one of them has not asked for a pause.
+        """
+        servers = self.usable_servers(service)
+        times = [server.paused_until for server in servers]
+        first_at = min(times, default=-math.inf)
+        return first_at if first_at > now else None
+
     def has_share(self, server: FleetServer, now: float) -> bool:
         """Return whether this daemon may send to the server at all."""
         rate = self._shared_rate(server, now)
--- a/tarragonlift/core/fleet/server.py
+++ b/tarragonlift/core/fleet/server.py
@@ -51,6 +51,10 @@
     is_gone: bool = False
     # When the server first said in an answer that it leaves.
     said_leaving_at: float = math.inf
+    # Until when the server asked this daemon to send nothing.
+    paused_until: float = -math.inf
+    # Most requests at once after a pause, doubled by each answer; 0: no limit.
+    reentry_limit: int = 0
     mean_latency_ratio: latency.DecayingMean = attrs.field(
         factory=_new_latency_ratio
     )
@@ -78,6 +82,19 @@
         self.said_leaving_at = min(self.said_leaving_at, now)
         return is_first
 
+    def record_pause(self, until: float) -> None:
+        """Record that the server wants nothing up to a time."""
+        self.paused_until = max(self.paused_until, until)
+        self.reentry_limit = 1
+
+    def takes_requests(self, now: float) -> bool:
+        """Return whether no pause, nor the return from one, forbids it."""
+        if now < self.paused_until:
+            return False
+        return not self.reentry_limit or (
+            len(self.in_flight) < self.reentry_limit
+        )
+
     @property
     def start(self) -> models.ServerStart:
         """Return which process of the server this is."""
@@ -181,6 +198,9 @@
 
     def record_answer(self, request: InFlight, now: float) -> None:
         """Update latency ratio and failure share from an answer."""
+        self.reentry_limit *= 2
+        if self.reentry_limit > self.slots:
+            self.reentry_limit = 0
         ratio = (now - request.sent_at) / max(request.expected_s, 1e-3)
         self.mean_latency_ratio.add(min(ratio, 10.0), now)
         self.failure_share.add(0.0, now)
--- a/tarragonlift/exceptions.py
+++ b/tarragonlift/exceptions.py
@@ -140,6 +140,13 @@
 
     advice = "No backend server can take the request now; send it again."
 
+    def __init__(
+        self, outcome: const.Outcome, available_in_s: float = 0.0
+    ) -> None:
+        """Initialize the error; seconds until a server is known to be free."""
+        super().__init__(outcome)
+        self.available_in_s = available_in_s
+
 
 class Overloaded(Refusal):
     """The queue of the service is full or the caller has used its share."""
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -248,6 +248,10 @@
         self.states_limit_in_health = True
         # True if all responses say that the server leaves.
         self.leaves = False
+        # Pause in seconds that refusals in the mode "shed" ask for, if any.
+        self.pause = ""
+        # Monotonic times of all requests but health checks.
+        self.arrivals: list[float] = []
         # Returns the bytes sent in place of a response in the modes "altered,
         # close" and "altered, reset".
         self.alter_response: abc.Callable[[bytes], bytes] = bytes
@@ -307,12 +311,15 @@
         if request.fields.get("x-target-instance") != self.server_id:
             writer.write(encode_response(421, X_Request_Id=request_id))
             return True
+        self.arrivals.append(time.monotonic())
         if self.mode == "shed":
             fields = {
                 "X_Request_Id": request_id,
                 "X_Not_Executed": "1",
                 **leaving,
             }
+            if self.pause:
+                fields["Retry_After"] = self.pause
             writer.write(encode_response(503, **fields))
             return True
         if self.mode == "own refusal again":
