Say that a request may have run when handling its answer failed

A decision that fails after an attempt has ended refused the request as "not run" although a server had run it. It is 502 now once anything was sent; the test failed before. Found by reading the diff, like this: the repeated crash notice stated what was known at first, so that an end that was disproved meanwhile came back; it states what is known then.

--- a/tarragonlift/components/gateway/crash_follower.py
+++ b/tarragonlift/components/gateway/crash_follower.py
@@ -127,12 +127,15 @@
         survivors: crashes.Ends,
         now: float,
     ) -> None:
-        """Send notices now and again a little later."""
+        """Send notices now, and what is known a little later once more."""
+        fingerprints = [suspect.fingerprint for suspect in suspects]
+
+        def repeat(then: float) -> None:
+            known = self._tracker.find_suspects(fingerprints)
+            self._announce(known, survivors, then)
+
         self._announce(suspects, survivors, now)
-        self._loop.call_at(
-            now + const.CRASH_NOTICE_REPEAT_S,
-            lambda then: self._announce(suspects, survivors, then),
-        )
+        self._loop.call_at(now + const.CRASH_NOTICE_REPEAT_S, repeat)
 
     def _announce(
         self,
--- a/tarragonlift/core/fleet/crashes.py
+++ b/tarragonlift/core/fleet/crashes.py
@@ -237,16 +237,15 @@
     def take_changed(self) -> list[Suspect]:
         """Return, once, what changed by what this daemon saw itself."""
         changed, self._changed = self._changed, {}
-        suspects = []
-        for fingerprint in changed:
-            account = self._accounts.get(fingerprint)
-            if account is not None:
-                suspects.append(
-                    Suspect(
-                        fingerprint, dict(account.ends), account.answered_at
-                    )
-                )
-        return suspects
+        return self.find_suspects(changed)
+
+    def find_suspects(self, fingerprints: abc.Iterable[str]) -> list[Suspect]:
+        """Return what is known now of requests, as far as it is."""
+        return [
+            Suspect(fingerprint, dict(account.ends), account.answered_at)
+            for fingerprint in fingerprints
+            if (account := self._accounts.get(fingerprint)) is not None
+        ]
 
     def take_survivors(self) -> dict[ServerStart, float]:
         """Return, once, the servers that were seen to run on, with times."""
--- a/tarragonlift/core/fleet/delivery.py
+++ b/tarragonlift/core/fleet/delivery.py
@@ -275,7 +275,7 @@
         """Refuse the request after one of its decisions failed."""
         if self._phase is Phase.DONE:
             return []
-        if not self._attempts:
+        if not self._sent:
             return self._give_up(exceptions.NoBackendServer(Outcome.NOT_RUN))
         abandoned = (
             self._abandon_all(now) if self._request.route.idempotent else []
--- a/tests/core/fleet/test_delivery.py
+++ b/tests/core/fleet/test_delivery.py
@@ -10,6 +10,7 @@
 from tarragonlift.core.fleet import delivery as delivery_module
 from tarragonlift.core.fleet import fleet as fleet_module
 from tarragonlift.core.fleet import interfaces
+from tarragonlift.core.fleet import server as server_module
 from tarragonlift import exceptions
 from tests.core.fleet import common
 
@@ -329,6 +330,22 @@
         assert common.get_refusal(result).refusal.status == 502
         assert not common.filter_actions(result, actions.Abandon)
 
+    def test_request_whose_answer_failed_to_be_handled_may_have_run(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Answer 502 although no attempt is under way any more."""
+        fleet = common.make_fleet(common.make_entry("a"))
+        common.report_load(fleet, "a")
+        delivery = common.open_delivery(fleet, "/order/1")
+        attempt = common.get_attempt(delivery.start(NOW))
+        monkeypatch.setattr(
+            server_module.FleetServer, "record_answer", lambda *_: 1 / 0
+        )
+        with pytest.raises(ZeroDivisionError):
+            delivery.on_answer(attempt, Verdict.SUCCESS, NOW)
+        refusal = common.get_refusal(delivery.on_error(NOW)).refusal
+        assert refusal.outcome is core_const.Outcome.UNKNOWN
+
 
 class TestOverload:
     """More requests than the servers can answer in time."""
