Use one piece of code for repeated steps of the crash tracker and the client

A suspect was built in three places, the digest of held requests built whole suspects to hash their names, "count and tell" stood twice, a delivery that fails and one that is overdue refused a sent request with the same lines, and the end of a call to the store repeated what finish() does.

Change: find_suspects, find_held, _record_own_end, _refuse_sent and finish() serve all of them. Behaviour is the same.

--- a/tarragonlift/components/gateway/daemon.py
+++ b/tarragonlift/components/gateway/daemon.py
@@ -239,7 +239,7 @@
         if self._follower is not None:
             limited_count = self._follower.rate_limits.limited_count
             self._metrics.gauge("rate_limited_servers", limited_count)
-        held = self._fleet.crash_tracker.list_held(now)
+        held = self._fleet.crash_tracker.find_held(now)
         self._metrics.gauge("held_requests", len(held))
         self._metrics.gauge("log_lines_lost", self._log_writer.dropped_total)
         self._metrics.flush()
--- a/tarragonlift/components/platform/client.py
+++ b/tarragonlift/components/platform/client.py
@@ -205,21 +205,15 @@
         return client.ClientConnection(self._poller, sock, self._address)
 
     def _cancel(self, request: _Request) -> None:
-        """End a request and close its connection."""
-        if request.is_finished:
-            return
-        request.is_finished = True
-        self._in_flight.discard(request)
-        if request.connection is not None:
-            request.connection.abandon()
-        self._send_waiting()
+        """End a request and close its connection without calling back."""
+        request.callback = _ignore
+        self.finish(request, exceptions.PlatformAnswerLost())
 
     def _check_connected(
         self, request: _Request, connection: client.ClientConnection
     ) -> None:
         """Fail a request whose connection is not established in time."""
-        if not request.is_finished and not connection.is_established:
-            connection.abandon()
+        if not connection.is_established:
             self.finish(request, exceptions.PlatformUnavailable())
 
     def _close_idle(self) -> None:
@@ -248,3 +242,7 @@
 
 def _do_nothing() -> None:
     """End no request: it has failed already."""
+
+
+def _ignore(result: Result) -> None:
+    """Drop the result of a request that was ended."""
--- a/tarragonlift/core/fleet/crashes.py
+++ b/tarragonlift/core/fleet/crashes.py
@@ -90,33 +90,36 @@
     @property
     def suspects(self) -> list[Suspect]:
         """Return all suspected requests."""
-        return [
-            Suspect(fingerprint, dict(account.ends), account.answered_at)
+        return self.find_suspects(
+            fingerprint
             for fingerprint, account in self._accounts.items()
             if account.ends
-        ]
+        )
 
-    def list_held(self, now: float) -> list[Suspect]:
-        """Return the requests that are held back."""
+    def find_held(self, now: float) -> list[str]:
+        """Return the fingerprints of the requests that are held back."""
         return [
-            Suspect(fingerprint, dict(account.ends), account.answered_at)
-            for fingerprint, account in list(self._accounts.items())
+            fingerprint
+            for fingerprint in self._accounts
             if self.is_held(fingerprint, now)
         ]
 
+    def list_held(self, now: float) -> list[Suspect]:
+        """Return the requests that are held back."""
+        return self.find_suspects(self.find_held(now))
+
     def held_digest(self, now: float) -> int:
         """Return a digest of the requests that are held back, 0 for none."""
         digest = 0
-        for suspect in self.list_held(now):
-            digest ^= xxhash.xxh64_intdigest(suspect.fingerprint)
+        for fingerprint in self.find_held(now):
+            digest ^= xxhash.xxh64_intdigest(fingerprint)
         return digest
 
     def record_break(
         self, fingerprint: str, server: FleetServer, now: float
     ) -> None:
         """Record that a server broke off a request that it ran."""
-        if self._record_end(fingerprint, server.start, now):
-            self._changed[fingerprint] = None
+        self._record_own_end(fingerprint, server.start, now)
         self.record_unreachable(server, now)
 
     def record_left(
@@ -136,10 +139,8 @@
         """Record that a server may have ended with what was left there."""
         since = now - const.LEFT_REQUEST_TTL_S
         for fingerprint, left_at in self._left.pop(server, {}).items():
-            if left_at < since:
-                continue
-            if self._record_end(fingerprint, server.start, now):
-                self._changed[fingerprint] = None
+            if left_at >= since:
+                self._record_own_end(fingerprint, server.start, now)
 
     def check_ends(self, now: float) -> None:
         """Find servers that the list names as new processes."""
@@ -252,6 +253,13 @@
         survivors, self._survivors = self._survivors, {}
         return survivors
 
+    def _record_own_end(
+        self, fingerprint: str, start: ServerStart, now: float
+    ) -> None:
+        """Count an end that this daemon saw, and tell the others if new."""
+        if self._record_end(fingerprint, start, now):
+            self._changed[fingerprint] = None
+
     def _record_end(
         self, fingerprint: str, start: ServerStart, ended_at: float
     ) -> bool:
--- a/tarragonlift/core/fleet/delivery.py
+++ b/tarragonlift/core/fleet/delivery.py
@@ -277,11 +277,7 @@
             return []
         if not self._sent:
             return self._give_up(exceptions.NoBackendServer(Outcome.NOT_RUN))
-        abandoned = (
-            self._abandon_all(now) if self._request.route.idempotent else []
-        )
-        refusal = exceptions.BackendFailed(Outcome.UNKNOWN)
-        return abandoned + self._refuse(refusal)
+        return self._refuse_sent(exceptions.BackendFailed, now)
 
     @property
     def _budget(self) -> budget.ExtraCallBudget:
@@ -432,11 +428,7 @@
         self._record_unanswered(now)
         if not self._attempts:
             return self._give_up(exceptions.NoBackendServer(Outcome.NOT_RUN))
-        abandoned = (
-            self._abandon_all(now) if self._request.route.idempotent else []
-        )
-        refusal = exceptions.DeadlinePassed(Outcome.UNKNOWN)
-        return abandoned + self._refuse(refusal)
+        return self._refuse_sent(exceptions.DeadlinePassed, now)
 
     def _relay(self, attempt: Attempt, now: float) -> Actions:
         """Relay an answer and abandon the other attempts."""
@@ -454,6 +446,15 @@
         self._phase = Phase.DONE
         return [actions.Refuse(refusal)]
 
+    def _refuse_sent(
+        self, refusal: type[exceptions.Refusal], now: float
+    ) -> Actions:
+        """Refuse a request that servers may run; orders run to their end."""
+        abandoned = (
+            self._abandon_all(now) if self._request.route.idempotent else []
+        )
+        return abandoned + self._refuse(refusal(Outcome.UNKNOWN))
+
     def _abandon_all(self, now: float) -> Actions:
         """Abandon all attempts and close their connections."""
         result: Actions = []
