Report what a response's head says of its server in one place

Cause: reading the whole change again. Exchanges and health checks each asked the dialect for leaving and pause and passed the answers on by two callbacks, the prober tested three times in a row whether the server is misplaced, and decide() took the time again although its callers had it, so that their argument was unused.

Change: one callback takes the server and the head; decide() takes the time. Behaviour is the same.

Measured: linter; tests of core, gateway, leaving, pauses, crashes, rate limits and the whole path passed.

--- a/tarragonlift/components/gateway/exchange.py
+++ b/tarragonlift/components/gateway/exchange.py
@@ -100,21 +100,18 @@
         is_signed = verdict in (Verdict.SUCCESS, Verdict.FAILURE)
         if verdict is Verdict.MISPLACED:
             return
-        if dialect.says_leaving(run.head):
-            self._owner.on_leaving(run.attempt.backend)
-        self._owner.on_pause(run.attempt.backend, dialect.pause_s(run.head))
+        self._owner.on_server_head(run.attempt.backend, run.head)
         if per_s == math.inf and not is_signed:
             return
         self._owner.on_rate_limit(run.attempt.backend, per_s)
 
     def decide(
-        self, step: abc.Callable[[float], list[actions.Action]]
+        self, step: abc.Callable[[float], list[actions.Action]], now: float
     ) -> None:
         """Run a step of the delivery and carry out its actions.
 
         A step that fails ends the request, so that the caller does not wait.
         """
-        now = time.monotonic()
         try:
             action_list = step(now)
         except Exception as error:
@@ -185,11 +182,11 @@
             # wrong.
             refusal = exceptions.BackendFailed(core_const.Outcome.UNKNOWN)
         self._refuse(refusal)
-        self.decide(self._delivery.on_body_broken)
+        self.decide(self._delivery.on_body_broken, time.monotonic())
 
     def on_process_ending(self, now: float) -> None:
         """Answer the caller; a response that is being streamed ends early."""
-        self.decide(self._delivery.on_process_ending)
+        self.decide(self._delivery.on_process_ending, now)
 
     def on_writable(self) -> None:
         """Resume reading responses."""
@@ -206,9 +203,9 @@
                 self._owner.note(self, "caller_gone", streaming=True)
                 self._abandon_attempt(run.attempt)
         if self._is_body_complete:
-            self.decide(self._delivery.on_caller_gone)
+            self.decide(self._delivery.on_caller_gone, time.monotonic())
         else:
-            self.decide(self._delivery.on_body_broken)
+            self.decide(self._delivery.on_body_broken, time.monotonic())
 
     def get_max_body_bytes(self, run: attempt_run.AttemptRun) -> float:
         """Return the limit of a body that is not streamed to the caller."""
@@ -266,7 +263,8 @@
         if run.is_streaming:
             self._abort_caller_connection()
         self.decide(
-            lambda now: self._delivery.on_failed(run.attempt, failure, now)
+            lambda now: self._delivery.on_failed(run.attempt, failure, now),
+            time.monotonic(),
         )
 
     def _start(self) -> None:
@@ -276,7 +274,7 @@
         self._is_started = True
         self._delivery.body_bytes = self._body_bytes
         self._delivery.fingerprint = self._fingerprint()
-        self.decide(self._delivery.start)
+        self.decide(self._delivery.start, time.monotonic())
 
     def _fingerprint(self) -> str:
         """Return a hash that identifies repetitions of the request.
@@ -326,7 +324,8 @@
         self.decide(
             lambda now: self._delivery.on_answer(
                 run.attempt, verdict, now, is_delimited
-            )
+            ),
+            now,
         )
 
     def _report_response(self, run: attempt_run.AttemptRun) -> None:
@@ -345,7 +344,8 @@
         if connection is None:
             failure = Failure.CONNECT_FAILED
             self.decide(
-                lambda now: self._delivery.on_failed(attempt, failure, now)
+                lambda now: self._delivery.on_failed(attempt, failure, now),
+                now,
             )
             return
         run = attempt_run.AttemptRun(self, attempt, connection)
@@ -418,7 +418,8 @@
         self._log_answered(run)
         self._write_response_head(run, None)
         self.decide(
-            lambda now: self._delivery.on_stream_begun(run.attempt, now)
+            lambda now: self._delivery.on_stream_begun(run.attempt, now),
+            time.monotonic(),
         )
         data, run.body = b"".join(run.body), []
         self._stream_response(run, data)
--- a/tarragonlift/components/gateway/exchange_owner.py
+++ b/tarragonlift/components/gateway/exchange_owner.py
@@ -61,14 +61,10 @@
         """Handle the rate limit stated in a response; None if malformed."""
 
     @abc.abstractmethod
-    def on_leaving(self, server: server_module.FleetServer) -> None:
-        """Handle a response that says that the server leaves."""
-
-    @abc.abstractmethod
-    def on_pause(
-        self, server: server_module.FleetServer, seconds: float | None
+    def on_server_head(
+        self, server: server_module.FleetServer, head: client.ResponseHead
     ) -> None:
-        """Handle the pause that a response asks for; None if malformed."""
+        """Handle what a response says of the server: leaving, a pause."""
 
     @abc.abstractmethod
     def note(
--- a/tarragonlift/components/gateway/gateway.py
+++ b/tarragonlift/components/gateway/gateway.py
@@ -63,8 +63,7 @@
             metrics,
             self._on_health_rate_limit,
             self.on_server_response,
-            self.on_leaving,
-            self.on_pause,
+            self.on_server_head,
         )
         self._stopping_since: float | None = None
         self._accept_until = float("inf")
@@ -212,27 +211,13 @@
         """Record the rate limit stated in a response to a request."""
         self._record_rate_limit(server, per_s, in_health=False)
 
-    def on_leaving(self, server: server_module.FleetServer) -> None:
-        """Send nothing more to a server that says that it leaves."""
-        if server.record_leaving(time.monotonic()):
-            self._metrics.count("leaving_stated")
-            logs.log_status("server", server=server.server_id, leaving=True)
-
-    def on_pause(
-        self, server: server_module.FleetServer, seconds: float | None
+    def on_server_head(
+        self, server: server_module.FleetServer, head: client.ResponseHead
     ) -> None:
-        """Send nothing to a server for as long as it asks for."""
-        if seconds is None:
-            self._metrics.count("pauses.malformed")
-        elif seconds > 0.0:
-            now = time.monotonic()
-            self._fleet.registry.record_pause(server, seconds, now)
-            self._metrics.count("pauses.stated")
-            logs.log_status(
-                "server",
-                server=server.server_id,
-                pause_s=round(server.paused_until - now, 3),
-            )
+        """Send nothing to a server that leaves or asks for a pause."""
+        if self.dialect.says_leaving(head):
+            self._record_leaving(server)
+        self._record_pause(server, self.dialect.pause_s(head))
 
     def note(self, exchange: Exchange, decision: str, **facts: object) -> None:
         """Log a decision about the request and count it."""
@@ -292,6 +277,28 @@
             state = "stated" if is_limited else "ended"
             self._metrics.count(f"rate_limits.{state}")
 
+    def _record_leaving(self, server: server_module.FleetServer) -> None:
+        """Record that a server says that it leaves."""
+        if server.record_leaving(time.monotonic()):
+            self._metrics.count("leaving_stated")
+            logs.log_status("server", server=server.server_id, leaving=True)
+
+    def _record_pause(
+        self, server: server_module.FleetServer, seconds: float | None
+    ) -> None:
+        """Record the pause that a server asks for; None if malformed."""
+        if seconds is None:
+            self._metrics.count("pauses.malformed")
+        elif seconds > 0.0:
+            now = time.monotonic()
+            self._fleet.registry.record_pause(server, seconds, now)
+            self._metrics.count("pauses.stated")
+            logs.log_status(
+                "server",
+                server=server.server_id,
+                pause_s=round(server.paused_until - now, 3),
+            )
+
     def _open_delivery(
         self, head: caller.RequestHead, request_id: str, now: float
     ) -> delivery_module.Delivery:
@@ -351,7 +358,9 @@
         def resume() -> None:
             if not probe_round.is_ended:
                 probe_round.is_ended = True
-                exchange.decide(exchange.delivery.on_probes_done)
+                exchange.decide(
+                    exchange.delivery.on_probes_done, time.monotonic()
+                )
 
         def on_probed() -> None:
             probe_round.pending -= 1
@@ -366,12 +375,12 @@
     def _wake(self, exchange: Exchange, now: float) -> None:
         """Wake a delivery if it is still in progress."""
         if exchange in self._exchanges:
-            exchange.decide(exchange.delivery.on_wake)
+            exchange.decide(exchange.delivery.on_wake, now)
 
     def _end_pause(self, exchange: Exchange, now: float) -> None:
         """Let a delivery look for a server with capacity again."""
         if exchange in self._exchanges:
-            exchange.decide(exchange.delivery.on_pause_over)
+            exchange.decide(exchange.delivery.on_pause_over, now)
 
     def _sweep(self, now: float) -> None:
         """Check timeouts of callers, exchanges and pooled connections."""
--- a/tarragonlift/components/gateway/prober.py
+++ b/tarragonlift/components/gateway/prober.py
@@ -20,6 +20,7 @@
 FleetServer = server_module.FleetServer
 ProbeCallback = abc.Callable[[], None]
 RateLimitCallback = abc.Callable[[FleetServer, float | None], None]
+HeadCallback = abc.Callable[[FleetServer, client.ResponseHead], None]
 
 # Takes the server, the connection and when the health check was sent.
 ResponseCallback = abc.Callable[
@@ -83,13 +84,11 @@
         metrics: recorder.Recorder,
         on_rate_limit: RateLimitCallback,
         on_response: ResponseCallback,
-        on_leaving: abc.Callable[[FleetServer], None],
-        on_pause: abc.Callable[[FleetServer, float | None], None],
+        on_server_head: HeadCallback,
     ) -> None:
         """Initialize the prober with the pool for its connections."""
         self._on_response = on_response
-        self._on_leaving = on_leaving
-        self._on_pause = on_pause
+        self._on_server_head = on_server_head
         self._on_rate_limit = on_rate_limit
         self._poller = poller
         self._pool = pool
@@ -141,11 +140,8 @@
                 misplaced=new_state[2],
                 said_by=health.server_id,
             )
-        if not server.is_misplaced and self._dialect.says_leaving(head):
-            self._on_leaving(server)
-        if not server.is_misplaced:
-            self._on_pause(server, self._dialect.pause_s(head))
         if not server.is_misplaced:
+            self._on_server_head(server, head)
             self._on_rate_limit(server, health.rate_limit)
         self._pool.release_connection(probe.connection)
         self._finish_probe(probe)
