Split the messages between daemons into types, codec and socket

Cause: peer_messages had three jobs and had grown to 600 lines with the notices of crashes and held requests.

Change: peer_messages holds the types, peer_codec their encoding, and peer_socket the datagrams. The lines are moved; names gain their module. Tests call the same functions with the same assertions.

--- a/tarragonlift/components/gateway/daemon.py
+++ b/tarragonlift/components/gateway/daemon.py
@@ -19,6 +19,7 @@
 from tarragonlift.components.gateway import gateway
 from tarragonlift.components.gateway import pages
 from tarragonlift.components.gateway import peer_messages
+from tarragonlift.components.gateway import peer_socket
 from tarragonlift.components.gateway import store_follower
 from tarragonlift.components import logs
 from tarragonlift.components.logs import writer
@@ -117,7 +118,7 @@
             self._poller, self._fleet, dialect, self._metrics
         )
         self._follower: store_follower.StoreFollower | None = None
-        self._peer_socket = peer_messages.PeerSocket(
+        self._peer_socket = peer_socket.PeerSocket(
             self._poller,
             self._fleet.members,
             self._on_peer_message,
--- a/tarragonlift_lab/fleet_state.py
+++ b/tarragonlift_lab/fleet_state.py
@@ -18,7 +18,9 @@
 
 from tarragonlift.components.gateway import access
 from tarragonlift.components.gateway import const
+from tarragonlift.components.gateway import peer_codec
 from tarragonlift.components.gateway import peer_messages
+from tarragonlift.components.gateway import peer_socket
 from tarragonlift.components.gateway import store_follower
 from tarragonlift.components import metrics
 from tarragonlift.core.fleet import fleet as fleet_module
@@ -501,10 +503,10 @@
         """Send a message to these addresses."""
         if not sender.is_alive:
             return
-        data = msgpack.packb(peer_messages.encode(message))
-        if len(data) > peer_messages.MAX_DATAGRAM_BYTES:
+        data = msgpack.packb(peer_codec.encode(message))
+        if len(data) > peer_socket.MAX_DATAGRAM_BYTES:
             return
-        received = peer_messages.parse(data)
+        received = peer_codec.parse(data)
         for address in addresses:
             self._deliver(sender, address, received, len(data))
 
--- a/tests/components/gateway/test_fuzz.py
+++ b/tests/components/gateway/test_fuzz.py
@@ -13,6 +13,7 @@
 
 from tarragonlift.components.data_path import byte_limits
 from tarragonlift.components.gateway import crash_follower
+from tarragonlift.components.gateway import peer_codec
 from tarragonlift.components.gateway import peer_messages
 from tarragonlift.components.gateway import rate_limit_follower
 from tarragonlift.core.fleet import list_view
@@ -129,7 +130,7 @@
         """Raise nothing but PeerError; what is decoded can be applied."""
         received = msgpack.unpackb(msgpack.packb(data), strict_map_key=False)
         try:
-            message = peer_messages.decode(received)
+            message = peer_codec.decode(received)
         except exceptions.PeerError:
             return
         fleet = common.make_fleet(common.make_entry("a"))
@@ -170,16 +171,16 @@
     def test_any_bytes_are_refused_or_decoded(self, data: bytes) -> None:
         """Raise nothing but PeerError."""
         with contextlib.suppress(exceptions.PeerError):
-            peer_messages.parse(data)
+            peer_codec.parse(data)
 
     def test_compressed_document_is_bounded(self) -> None:
         """Refuse a document that is larger than the limit once expanded."""
         document = zlib.compress(b"\0" * (200 << 20))
-        message = [peer_messages.TYPE_OPERATORS, [1, 1, []], document]
+        message = [peer_codec.TYPE_OPERATORS, [1, 1, []], document]
         tracemalloc.start()
         try:
             with pytest.raises(exceptions.PeerError):
-                peer_messages.decode(message)
+                peer_codec.decode(message)
             _, peak = tracemalloc.get_traced_memory()
         finally:
             tracemalloc.stop()
--- a/tests/components/gateway/test_peer_messages.py
+++ b/tests/components/gateway/test_peer_messages.py
@@ -7,6 +7,7 @@
 import msgpack
 import pytest
 
+from tarragonlift.components.gateway import peer_codec
 from tarragonlift.components.gateway import peer_messages
 from tarragonlift.core.fleet import list_view
 from tarragonlift.core.fleet import models
@@ -77,8 +78,8 @@
     )
     def test_round_trip(self, message: peer_messages.Message) -> None:
         """Decode what was encoded."""
-        data = msgpack.packb(peer_messages.encode(message))
-        assert peer_messages.decode(msgpack.unpackb(data)) == message
+        data = msgpack.packb(peer_codec.encode(message))
+        assert peer_codec.decode(msgpack.unpackb(data)) == message
 
     @pytest.mark.parametrize(
         "data",
@@ -91,7 +92,7 @@
             ["operators", [1, 1, []], b"x"],
             [
                 "rate-limits",
-                peer_messages._pack([["a", 1, 1e308, 0.0, True]]),
+                peer_codec._pack([["a", 1, 1e308, 0.0, True]]),
                 False,
             ],
             7,
@@ -100,4 +101,4 @@
     def test_unknown_data_is_an_error(self, data: object) -> None:
         """Raise PeerError for data of no known message."""
         with pytest.raises(exceptions.PeerError):
-            peer_messages.decode(data)
+            peer_codec.decode(data)
