Let no connection in that a closing listener would reset

What callers saw: in a planned stop under load a connection was established and then reset, so that its caller could not tell whether a request had run.

Cause: between the last accept and the close of a listening socket the kernel establishes connections and then resets them.

Change: a filter on the socket drops requests for connections, accept goes on until none has come for 5 ms, then the socket is closed. 5 ms is over the round trip within a data centre; a caller whose request was dropped in it is refused 1 s later, when its kernel repeats it.

--- a/tarragonlift/components/data_path/stream.py
+++ b/tarragonlift/components/data_path/stream.py
@@ -5,16 +5,30 @@
 import abc
 import collections
 from collections import abc as collections_abc
+import ctypes
+import select
 import socket
 import struct
 import time
 
 from tarragonlift.components.data_path import const
 from tarragonlift.components.data_path import poller as poller_module
+from tarragonlift.components import logs
 from tarragonlift.core import models
 
 LINGER_RESET_OPTION = struct.pack("ii", 1, 0)
 
+# A classic BPF program over a TCP segment: drop it if its SYN flag is set.
+_DROP_SYN_PROGRAM = b"".join(
+    struct.pack("HBBI", *instruction)
+    for instruction in (
+        (0x30, 0, 0, 13),  # load the byte of the flags
+        (0x45, 0, 1, 0x02),  # skip the next instruction without SYN
+        (0x06, 0, 0, 0),  # drop
+        (0x06, 0, 0, 0xFFFFFFFF),  # pass the whole segment
+    )
+)
+
 
 class Stream(poller_module.SocketHandler):
     """Reads and writes one socket; subclasses handle the data."""
@@ -275,15 +289,36 @@
     def close(self) -> None:
         """Accept what is pending, then close the listening socket.
 
-        Connections that were established but not yet accepted would be reset.
+        Connections that were established but not yet accepted would be reset,
+        so no new one is let in meanwhile. Blocks for ``HANDSHAKE_TIMEOUT_MS``
+        after the last one.
         """
         if self._sock.fileno() < 0:
             return
-        while self._accept():
-            pass
+        self._drop_connection_requests()
+        pending = select.poll()
+        pending.register(self._sock, select.POLLIN)
+        while pending.poll(const.HANDSHAKE_TIMEOUT_MS):
+            if not self._accept():
+                break
         self._poller.detach(self._sock.fileno())
         self._sock.close()
 
+    def _drop_connection_requests(self) -> None:
+        """Let the kernel drop requests for connections unanswered.
+
+        Their callers repeat them and are refused once the socket is closed.
+        """
+        program = ctypes.create_string_buffer(_DROP_SYN_PROGRAM)
+        count = len(_DROP_SYN_PROGRAM) // struct.calcsize("HBBI")
+        option = struct.pack("HP", count, ctypes.addressof(program))
+        try:
+            self._sock.setsockopt(
+                socket.SOL_SOCKET, const.SO_ATTACH_FILTER, option
+            )
+        except OSError as error:
+            logs.log_error(error, at="closing_listener")
+
     def _accept(self) -> bool:
         """Accept one connection; return whether there was one."""
         try:
