Count servers that leave or asked for a pause, by service

Cause: an operator could see how often servers said so, not how many of a service are unused now.

Change: gauges with a label; the metrics page has them counted for each request, since counting 1,000 servers ten times a second would cost what nobody reads.

--- a/tarragonlift/components/gateway/daemon.py
+++ b/tarragonlift/components/gateway/daemon.py
@@ -126,7 +126,9 @@
         )
         ready_page = pages.ReadinessPage(dialect.readiness_path, self.is_ready)
         self._ready = pages.PageListener(self._poller, ready_page)
-        metrics_page = pages.MetricsPage(METRICS_PATH, self._metrics)
+        metrics_page = pages.MetricsPage(
+            METRICS_PATH, self._metrics, self._count_unused_servers
+        )
         self._metrics_listener = pages.PageListener(self._poller, metrics_page)
 
     @property
@@ -247,6 +249,17 @@
         self._ready.sweep(now)
         self._log_writer.flush()
 
+    def _count_unused_servers(self) -> None:
+        """Set the metrics of servers that leave or asked for a pause."""
+        now = self._poller.now()
+        registry = self._fleet.registry
+        self._metrics.label_gauge(
+            "leaving_servers", "service", registry.count_leaving()
+        )
+        self._metrics.label_gauge(
+            "paused_servers", "service", registry.count_paused(now)
+        )
+
     def _check_settings(self, now: float) -> None:
         """Reload the settings after a signal or a change of their source."""
         signalled, self._is_reload_requested = self._is_reload_requested, False
--- a/tarragonlift/components/gateway/pages.py
+++ b/tarragonlift/components/gateway/pages.py
@@ -45,10 +45,16 @@
 
     content_type = "text/plain; version=0.0.4"
 
-    def __init__(self, path: str, metrics: recorder.Recorder) -> None:
-        """Initialize the page at this path."""
+    def __init__(
+        self,
+        path: str,
+        metrics: recorder.Recorder,
+        update: abc.Callable[[], None],
+    ) -> None:
+        """Initialize the page; ``update`` sets what is costly to count."""
         self._path = path
         self._metrics = metrics
+        self._update = update
 
     def respond(
         self, head: caller.RequestHead, body: bytes
@@ -56,6 +62,7 @@
         """Return the status and the text."""
         if not _is_at(head, self._path):
             return STATUS_NOT_FOUND, b""
+        self._update()
         return STATUS_OK, exposition.render(self._metrics)
 
 
--- a/tarragonlift/components/metrics/exposition.py
+++ b/tarragonlift/components/metrics/exposition.py
@@ -8,6 +8,7 @@
 from tarragonlift.components.metrics import recorder
 
 PREFIX = "tarragonlift_"
+_LABEL_ESCAPES = str.maketrans({"\\": r"\\", '"': r"\"", "\n": r"\n"})
 _INVALID_CHARACTERS = re.compile(r"[^a-zA-Z0-9_]")
 
 
@@ -18,11 +19,23 @@
         lines.append(f"{_format_name(name)}_total {count}")
     for name, gauge in sorted(metrics.gauges.items()):
         lines.append(f"{_format_name(name)} {gauge}")
+    for name, labelled in sorted(metrics.labelled_gauges.items()):
+        lines += _render_labelled_gauge(_format_name(name), labelled)
     for name, histogram in sorted(metrics.histograms.items()):
         lines += _render_histogram(_format_name(name), histogram)
     return ("\n".join(lines) + "\n").encode()
 
 
+def _render_labelled_gauge(
+    name: str, gauge: recorder.LabelledGauge
+) -> list[str]:
+    """Return a line for each value of the label."""
+    return [
+        f'{name}{{{gauge.label}="{key.translate(_LABEL_ESCAPES)}"}} {value}'
+        for key, value in sorted(gauge.values.items())
+    ]
+
+
 def _render_histogram(name: str, histogram: recorder.Histogram) -> list[str]:
     """Return the lines of a histogram, with cumulative buckets."""
     bounds = [str(bound) for bound in recorder.BUCKETS_S] + ["+Inf"]
--- a/tarragonlift/components/metrics/recorder.py
+++ b/tarragonlift/components/metrics/recorder.py
@@ -4,7 +4,9 @@
 
 import bisect
 import collections
+from collections import abc
 
+import attrs
 import statsd
 
 # Upper bounds of the histogram buckets in seconds, by factors of about two.
@@ -27,6 +29,14 @@
         self.total += value
 
 
+@attrs.frozen
+class LabelledGauge:
+    """A gauge with a value for each value of one label."""
+
+    label: str
+    values: dict[str, float]
+
+
 class Recorder:
     """Collects metrics; ``flush`` sends counters and gauges in few packets."""
 
@@ -36,6 +46,7 @@
         self._counts: collections.Counter[str] = collections.Counter()
         self._totals: collections.Counter[str] = collections.Counter()
         self._gauges: dict[str, float] = {}
+        self._labelled_gauges: dict[str, LabelledGauge] = {}
         self._histograms: dict[str, Histogram] = {}
 
     @property
@@ -53,6 +64,11 @@
         """Return the last value of each gauge."""
         return dict(self._gauges)
 
+    @property
+    def labelled_gauges(self) -> dict[str, LabelledGauge]:
+        """Return the gauges that have a value for each value of a label."""
+        return dict(self._labelled_gauges)
+
     def count(self, name: str, value: int = 1) -> None:
         """Add to a counter."""
         self._counts[name] += value
@@ -65,6 +81,12 @@
         """Set a gauge."""
         self._gauges[name] = value
 
+    def label_gauge(
+        self, name: str, label: str, values: abc.Mapping[str, float]
+    ) -> None:
+        """Set a gauge for each value of a label, and drop all others."""
+        self._labelled_gauges[name] = LabelledGauge(label, dict(values))
+
     def flush(self) -> None:
         """Send the gauges and the counts since the last flush."""
         counts, self._counts = self._counts, collections.Counter()
@@ -76,3 +98,6 @@
                 pipeline.incr(name, value)
             for name, gauge in self._gauges.items():
                 pipeline.gauge(name, gauge)
+            for name, labelled in self._labelled_gauges.items():
+                for key, gauge in labelled.values.items():
+                    pipeline.gauge(f"{name}.{key}", gauge)
--- a/tarragonlift/core/fleet/registry.py
+++ b/tarragonlift/core/fleet/registry.py
@@ -202,6 +202,20 @@
         first_at = min(times, default=-math.inf)
         return first_at if first_at > now else None
 
+    def count_leaving(self) -> dict[str, int]:
+        """Return the number of servers that leave, for each service."""
+        return {
+            service: sum(server.is_leaving for server in servers)
+            for service, servers in self._by_service.items()
+        }
+
+    def count_paused(self, now: float) -> dict[str, int]:
+        """Return the number of servers in a pause, for each service."""
+        return {
+            service: sum(now < server.paused_until for server in servers)
+            for service, servers in self._by_service.items()
+        }
+
     def has_share(self, server: FleetServer, now: float) -> bool:
         """Return whether this daemon may send to the server at all."""
         rate = self._shared_rate(server, now)
--- a/tests/components/gateway/test_logs.py
+++ b/tests/components/gateway/test_logs.py
@@ -56,3 +56,14 @@
         assert 'tarragonlift_request_seconds_bucket{le="0.025"} 1' in lines
         assert 'tarragonlift_request_seconds_bucket{le="+Inf"} 2' in lines
         assert "tarragonlift_request_seconds_count 2" in lines
+
+    def test_gauges_of_a_label(self) -> None:
+        """Write a line for each value of the label, and no former one."""
+        metrics = recorder.Recorder(None)
+        metrics.label_gauge("paused_servers", "service", {"old": 1})
+        metrics.label_gauge("paused_servers", "service", {'a"b\n': 2, "c": 0})
+        lines = exposition.render(metrics).decode().splitlines()
+        assert lines == [
+            r'tarragonlift_paused_servers{service="a\"b\n"} 2',
+            'tarragonlift_paused_servers{service="c"} 0',
+        ]
--- a/tests/core/fleet/test_pause.py
+++ b/tests/core/fleet/test_pause.py
@@ -124,3 +124,25 @@
         delivery = common.open_delivery(fleet, "/order/1")
         delivery.start(NOW)
         assert delivery.phase is not delivery_module.Phase.DONE
+
+
+class TestCounts:
+    """Servers that leave or pause, by service."""
+
+    def test_servers_are_counted_for_as_long_as_it_lasts(self) -> None:
+        """Count a pause until its end, and leaving until the next start."""
+        fleet = make_fleet()
+        registry = fleet.registry
+        server = pause(fleet, "a")
+        server.record_leaving(NOW)
+        service = server.entry.service
+        assert registry.count_leaving() == {service: 1}
+        assert registry.count_paused(NOW) == {service: 1}
+        assert registry.count_paused(server.paused_until) == {service: 0}
+        entries = [
+            common.make_entry("a", started_ms=2),
+            common.make_entry("b", leaving=True),
+        ]
+        registry.set_entries(2, entries, NOW)
+        assert registry.count_leaving() == {service: 1}
+        assert registry.count_paused(NOW) == {service: 0}
