Tell other daemons which servers asked for a pause

Cause: a server asks only the daemon that it turns away for a pause. Each other daemon spent an extra call to be told the same, and had on average a fifth of one to spend.

Change: PauseFollower tells all daemons, by the data centre and relays; those told avoid the server for at most 10 s and may still use it. A daemon that starts gets the pauses with a neighbour's state.

Tests: three daemons on sockets (failed without the notice: three requests in place of one), the follower, datagrams, the play; its checks fail for daemons that read no answers.

--- a/tarragonlift/components/gateway/daemon.py
+++ b/tarragonlift/components/gateway/daemon.py
@@ -150,6 +150,7 @@
         rate_limits = self._follower.rate_limits
         rate_limits.check = self._gateway.check_server
         self._gateway.on_rate_limit_stated = rate_limits.on_response
+        self._gateway.on_pause_stated = self._follower.pauses.on_pause
         self._follower.set_senders(
             self._peer_socket.send_to_relays,
             self._peer_socket.send_to_data_centre,
--- a/tarragonlift/components/gateway/gateway.py
+++ b/tarragonlift/components/gateway/gateway.py
@@ -35,6 +35,7 @@
 RateLimitCallback = abc.Callable[
     [server_module.FleetServer, float, bool], bool
 ]
+PauseCallback = abc.Callable[[server_module.FleetServer], None]
 
 
 class Gateway(exchange_owner.ExchangeOwner, caller.RequestAcceptor):
@@ -68,6 +69,7 @@
         self._stopping_since: float | None = None
         self._accept_until = float("inf")
         self.on_rate_limit_stated: RateLimitCallback = _ignore_rate_limit
+        self.on_pause_stated: PauseCallback = _ignore_pause
 
     @property
     def is_stopping(self) -> bool:
@@ -292,6 +294,7 @@
         elif seconds > 0.0:
             now = time.monotonic()
             self._fleet.registry.record_pause(server, seconds, now)
+            self.on_pause_stated(server)
             self._metrics.count("pauses.stated")
             logs.log_status(
                 "server",
@@ -404,6 +407,10 @@
     """Ignore the argument; used until a callback is set."""
 
 
+def _ignore_pause(server: server_module.FleetServer) -> None:
+    """Ignore a pause; used until a callback is set."""
+
+
 def _ignore_rate_limit(
     server: server_module.FleetServer, per_s: float, in_health: bool
 ) -> bool:
--- a/tarragonlift/components/gateway/peer_codec.py
+++ b/tarragonlift/components/gateway/peer_codec.py
@@ -29,6 +29,7 @@
 TYPE_PENDING = "pending"
 TYPE_OUTAGE = "outage"
 TYPE_RATE_LIMITS = "rate-limits"
+TYPE_PAUSES = "pauses"
 # Maximum size in bytes of a compressed configuration in a datagram. Sending it
 # to 30 daemons takes 0.4 s of a 5 Mbit/s link; receivers read a larger one
 # from the store.
@@ -81,6 +82,9 @@
     if isinstance(message, peer_messages.RateLimitNotice):
         limits = _pack(map(_encode_limit, message.limits))
         return [TYPE_RATE_LIMITS, limits, message.for_relay]
+    if isinstance(message, peer_messages.PauseNotice):
+        pauses = _pack(map(_encode_pause, message.pauses))
+        return [TYPE_PAUSES, pauses, message.for_relay]
     return [
         TYPE_LIST,
         _encode_member(message.member),
@@ -148,6 +152,12 @@
                 tuple(_decode_limit(*limit) for limit in _unpack(limits)),
                 _require(for_relay, bool),
             )
+        if kind == TYPE_PAUSES:
+            pauses, for_relay = fields
+            return peer_messages.PauseNotice(
+                tuple(_decode_pause(*pause) for pause in _unpack(pauses)),
+                _require(for_relay, bool),
+            )
         if kind == TYPE_OPERATORS:
             state, document = fields
             return peer_messages.OperatorNotice(
@@ -309,10 +319,28 @@
     server_id: Any, started_ms: Any, age_s: Any
 ) -> peer_messages.StartAge:
     """Return the start of a server that the fields encode."""
-    start = models.ServerStart(
+    start = _decode_start(server_id, started_ms)
+    return peer_messages.StartAge(start, _decode_number(age_s))
+
+
+def _encode_pause(item: peer_messages.StatedPause) -> list[Any]:
+    """Return the pause of a server as plain data."""
+    return [item.start.server_id, item.start.started_ms, item.left_s]
+
+
+def _decode_pause(
+    server_id: Any, started_ms: Any, left_s: Any
+) -> peer_messages.StatedPause:
+    """Return the pause of a server that the fields encode."""
+    start = _decode_start(server_id, started_ms)
+    return peer_messages.StatedPause(start, _decode_number(left_s))
+
+
+def _decode_start(server_id: Any, started_ms: Any) -> models.ServerStart:
+    """Return the process of a server that the fields encode."""
+    return models.ServerStart(
         _require(server_id, str), _require(started_ms, int)
     )
-    return peer_messages.StartAge(start, _decode_number(age_s))
 
 
 def _encode_limit(limit: peer_messages.StatedLimit) -> list[Any]:
--- a/tarragonlift/components/gateway/peer_messages.py
+++ b/tarragonlift/components/gateway/peer_messages.py
@@ -1,4 +1,4 @@
-"""Messages between daemons: the store's state, crashes and rate limits."""
+"""Messages between daemons: the store's state, and what servers did."""
 
 from __future__ import annotations
 
@@ -130,6 +130,22 @@
     for_relay: bool = False
 
 
+@attrs.frozen
+class StatedPause:
+    """A pause that a server asked some daemon for, with the seconds left."""
+
+    start: models.ServerStart
+    left_s: float
+
+
+@attrs.frozen
+class PauseNotice:
+    """Notice of the pauses that servers asked the sender for."""
+
+    pauses: tuple[StatedPause, ...]
+    for_relay: bool = False
+
+
 Message = (
     list_view.ListUpdate
     | CrashNotice
@@ -141,4 +157,5 @@
     | StatePending
     | OutageNotice
     | RateLimitNotice
+    | PauseNotice
 )
--- a/tarragonlift/components/gateway/store_follower.py
+++ b/tarragonlift/components/gateway/store_follower.py
@@ -18,6 +18,7 @@
 from tarragonlift.components.gateway import joining
 from tarragonlift.components.gateway import member_rows
 from tarragonlift.components.gateway import operator_follower
+from tarragonlift.components.gateway import pause_follower
 from tarragonlift.components.gateway import peer_messages
 from tarragonlift.components.gateway import rate_limit_follower
 from tarragonlift.components import logs
@@ -67,6 +68,9 @@
         self.rate_limits = rate_limit_follower.RateLimitFollower(
             self._loop, store_access.fleet.registry
         )
+        self.pauses = pause_follower.PauseFollower(
+            self._loop, store_access.fleet.registry
+        )
         self.crashes = crash_follower.CrashFollower(
             self._loop,
             store_access.fleet.crash_tracker,
@@ -118,6 +122,8 @@
         self.crashes.send_to_data_centre = send_to_data_centre
         self.crashes.send_to_relays = send_to_relays
         self.crashes.send_to = send_to
+        self.pauses.send_to_data_centre = send_to_data_centre
+        self.pauses.send_to_relays = send_to_relays
         self.rate_limits.send_to_data_centre = send_to_data_centre
         self.rate_limits.send_to_relays = send_to_relays
 
@@ -148,6 +154,7 @@
     def tick(self, now: float) -> None:
         """Start the reads that are due; called at short intervals."""
         self.rate_limits.tick(now)
+        self.pauses.tick(now)
         self.crashes.tick(now)
         if self._is_waiting_for_state(now):
             self._ask_for_state(now)
@@ -187,6 +194,8 @@
             self._start_plan.on_pending(self._loop.now())
         elif isinstance(message, peer_messages.RateLimitNotice):
             self.rate_limits.on_notice(message)
+        elif isinstance(message, peer_messages.PauseNotice):
+            self.pauses.on_notice(message)
         elif isinstance(message, peer_messages.CrashNotice):
             self.crashes.on_notice(message)
         elif isinstance(message, peer_messages.HeldRequests):
@@ -264,6 +273,8 @@
         self._joining.send_to(member.address, notice)
         for limits in self.rate_limits.make_notices():
             self._joining.send_to(member.address, limits)
+        for pauses in self.pauses.make_notices():
+            self._joining.send_to(member.address, pauses)
 
     def _tell_outage(self, now: float) -> None:
         """Tell the data centre that the store does not answer this daemon."""
--- a/tarragonlift/core/fleet/chooser.py
+++ b/tarragonlift/core/fleet/chooser.py
@@ -218,7 +218,7 @@
         loss += max(0.0, server.failure_share.mean_at(now))
         if not server.healthy:
             loss += UNHEALTHY_LOSS
-        if now < server.avoid_until:
+        if server.is_avoided(now):
             loss += AVOIDED_LOSS
         uncertainty = const.LATE_LOSS
         if server.is_cold(now):
--- a/tarragonlift/core/fleet/const.py
+++ b/tarragonlift/core/fleet/const.py
@@ -209,6 +209,15 @@
 PAUSE_SPREAD_SHARE = 0.25
 MAX_PAUSE_SPREAD_S = 1.0
 PAUSE_SPREAD_STEPS = 16
+# Longest time in seconds for which daemons avoid a server that asked another
+# one for a pause.
+MAX_TOLD_PAUSE_S = 10.0
+# Minimum time in seconds between two notices of pauses by one daemon, and
+# between two of them about one server.
+PAUSE_NOTICE_INTERVAL_S = 0.5
+SERVER_PAUSE_NOTICE_INTERVAL_S = 1.0
+# Maximum number of pauses in one notice, so that it fits into a datagram.
+MAX_NOTICE_PAUSES = 200
 # Shares of the maximum age of the list after which the first daemon in order
 # and the last one that waits for operators' changes read it, and after which
 # all others follow until the maximum age. Those that read first tell the
--- a/tarragonlift/core/fleet/server.py
+++ b/tarragonlift/core/fleet/server.py
@@ -53,6 +53,10 @@
     said_leaving_at: float = math.inf
     # Until when the server asked this daemon to send nothing.
     paused_until: float = -math.inf
+    # Until when it is avoided since another daemon was asked for a pause, and
+    # when that was told last, by this daemon or to it.
+    pause_told_until: float = -math.inf
+    pause_told_at: float = -math.inf
     # Most requests at once after a pause, doubled by each answer; 0: no limit.
     reentry_limit: int = 0
     mean_latency_ratio: latency.DecayingMean = attrs.field(
@@ -87,6 +91,20 @@
         self.paused_until = max(self.paused_until, until)
         self.reentry_limit = 1
 
+    def record_told_pause(self, left_s: float, now: float) -> None:
+        """Avoid the server since another daemon was asked for a pause.
+
+        It asked one daemon alone, so that this one may still use it if the
+        others are worse, and after ``MAX_TOLD_PAUSE_S`` in any case.
+        """
+        until = now + min(left_s, const.MAX_TOLD_PAUSE_S)
+        self.pause_told_until = max(self.pause_told_until, until)
+        self.pause_told_at = now
+
+    def is_avoided(self, now: float) -> bool:
+        """Return whether others are to be preferred for now."""
+        return now < max(self.avoid_until, self.pause_told_until)
+
     def takes_requests(self, now: float) -> bool:
         """Return whether no pause, nor the return from one, forbids it."""
         if now < self.paused_until:
--- a/tarragonlift_lab/cli.py
+++ b/tarragonlift_lab/cli.py
@@ -18,12 +18,15 @@
 from tarragonlift_lab import faults as faults_module
 from tarragonlift_lab import faults_report
 from tarragonlift_lab import http
+from tarragonlift_lab import leaving_play
 from tarragonlift_lab import loops as loops_module
 from tarragonlift_lab import platform as platform_module
 from tarragonlift_lab import plots
 from tarragonlift_lab import server as server_module
 from tarragonlift_lab import slopes as slopes_module
 
+FLEET_SIZES = (18, 312)
+
 app = typer.Typer(
     no_args_is_help=True,
     help="Stand-ins, load and experiments.",
@@ -196,6 +199,18 @@
         json_file.write_text(json.dumps(document, indent=2))
 
 
+@app.command()
+def leaving(
+    daemons: Annotated[
+        list[int] | None,
+        typer.Option(help="Size of the fleet; may be given several times."),
+    ] = None,
+    seed: int = 1,
+) -> None:
+    """Play servers that leave or ask for pauses, in virtual time."""
+    print(leaving_play.format_table(seed, daemons or FLEET_SIZES))
+
+
 @app.command("loop-server")
 def loop_server(
     kind: Annotated[str, typer.Option()], ready_file: ReadyOption = None
--- a/tarragonlift_lab/fleet_state.py
+++ b/tarragonlift_lab/fleet_state.py
@@ -343,6 +343,7 @@
         servers: int,
         seed: int,
         loss: float = 0.001,
+        extra_calls: fleet_module.ExtraCalls = fleet_module.ExtraCalls(),
     ) -> None:
         """Initialize; ``loss`` is the share of messages that are lost."""
         self.clock = Clock()
@@ -350,6 +351,7 @@
         self.traffic = Traffic()
         self.rng = random.Random(seed)
         self._loss = loss
+        self._extra_calls = extra_calls
         self._cut: frozenset[str] = frozenset()
         self.daemons: dict[core_models.Address, Daemon] = {}
         self._members = [
@@ -452,9 +454,7 @@
         self, member: members.Member, is_first_start: bool, now: float
     ) -> None:
         """Start a daemon now."""
-        fleet = fleet_module.Fleet(
-            member, fleet_module.ExtraCalls(), 0.05, self.rng
-        )
+        fleet = fleet_module.Fleet(member, self._extra_calls, 0.05, self.rng)
         loop = DaemonLoop(self.clock)
         store_access = access.StoreAccess(
             loop,
--- a/tarragonlift_lab/rate_limit_play.py
+++ b/tarragonlift_lab/rate_limit_play.py
@@ -7,26 +7,20 @@
 
 from __future__ import annotations
 
-from collections import abc
 import math
 
 import attrs
 
 from tarragonlift.core import actions
 from tarragonlift.core.fleet import delivery as delivery_module
-from tarragonlift.core.fleet import fleet as fleet_module
 from tarragonlift.core.fleet import members
 from tarragonlift.core.fleet import models
 from tarragonlift.core.fleet import server as server_module
-from tarragonlift.core import models as core_models
-from tarragonlift import exceptions
-from tarragonlift_lab import fleet_state
+from tarragonlift_lab import fleet_load
 
-Daemon = fleet_state.Daemon
+Daemon = fleet_load.Daemon
 Delivery = delivery_module.Delivery
 SERVICE_TIME_S = 0.2
-DEADLINE_S = 4.0
-ROUND_TRIP_S = 0.002
 # The users' rule: within a window a server gets at most a multiple of its
 # limit and a few requests more, counted from some time after it first stated
 # it, from daemons that have passed on such a response before.
@@ -55,7 +49,7 @@
         return MAX_RATIO * self.per_s * WINDOW_S + MAX_EXTRA
 
 
-class RateLimitPlay(fleet_state.FleetSimulation):
+class RateLimitPlay(fleet_load.FleetLoadPlay):
     """A fleet with callers and servers that state limits."""
 
     def __init__(
@@ -72,8 +66,6 @@
         self._in_health = in_health
         self._in_responses = in_responses
         self.servers = {name: LimitedServer() for name in self.store.servers}
-        self.outcomes = {"answered": 0, "refused": 0}
-        self._requests = 0
 
     @property
     def limited(self) -> list[LimitedServer]:
@@ -96,11 +88,6 @@
             server.per_s = math.inf
             server.stated_at = math.inf
 
-    def begin_load(self, per_daemon: float) -> None:
-        """Send requests to each daemon at this mean rate per second."""
-        for member in self._members:
-            self._schedule_request(member.address, per_daemon)
-
     def most_excess(self, told_only: bool) -> float:
         """Return the largest number of requests above what a window allows.
 
@@ -134,69 +121,6 @@
             daemon, server, self.clock.now()
         )
 
-    def _schedule_request(
-        self, address: core_models.Address, rate: float
-    ) -> None:
-        """Schedule the next request to the daemon at an address."""
-        delay_s = self.rng.expovariate(rate)
-
-        def arrive(now: float) -> None:
-            self._schedule_request(address, rate)
-            daemon = self.daemons.get(address)
-            if daemon is not None and daemon.is_alive:
-                self._begin(daemon, now)
-
-        self.clock.call_at(self.clock.now() + delay_s, arrive)
-
-    def _begin(self, daemon: Daemon, now: float) -> None:
-        """Begin the delivery of a request."""
-        self._requests += 1
-        request_id = f"r-{self._requests}"
-        head = fleet_module.RequestHead(
-            request_id, fleet_state.HOST, "/1", DEADLINE_S
-        )
-        try:
-            delivery = daemon.fleet.open_delivery(head, now)
-        except exceptions.Refusal:
-            self.outcomes["refused"] += 1
-            return
-        delivery.fingerprint = request_id
-        self._carry_out(daemon, delivery, delivery.start(now))
-
-    def _carry_out(
-        self,
-        daemon: Daemon,
-        delivery: Delivery,
-        action_list: list[actions.Action],
-    ) -> None:
-        """Carry out the actions of a delivery."""
-
-        def later(
-            when: float,
-            method: abc.Callable[[float], list[actions.Action]],
-        ) -> None:
-            daemon.loop.call_at(
-                when,
-                lambda now: self._carry_out(daemon, delivery, method(now)),
-            )
-
-        for action in action_list:
-            if isinstance(action, actions.Send):
-                self._run(daemon, delivery, action.attempt)
-            elif isinstance(action, actions.Relay):
-                self.outcomes["answered"] += 1
-            elif isinstance(action, actions.Refuse):
-                self.outcomes["refused"] += 1
-            elif isinstance(action, actions.WakeAt):
-                later(action.when, delivery.on_wake)
-            elif isinstance(action, actions.PauseUntil):
-                later(action.when, delivery.on_pause_over)
-            elif isinstance(action, delivery_module.Probe):
-                now = self.clock.now()
-                for server in action.servers:
-                    self._probe(daemon, server, now)
-                later(now + ROUND_TRIP_S, delivery.on_probes_done)
-
     def _probe(
         self, daemon: Daemon, server: server_module.FleetServer, now: float
     ) -> None:
--- a/tests/components/gateway/test_fuzz.py
+++ b/tests/components/gateway/test_fuzz.py
@@ -13,6 +13,7 @@
 
 from tarragonlift.components.data_path import byte_limits
 from tarragonlift.components.gateway import crash_follower
+from tarragonlift.components.gateway import pause_follower
 from tarragonlift.components.gateway import peer_codec
 from tarragonlift.components.gateway import peer_messages
 from tarragonlift.components.gateway import rate_limit_follower
@@ -116,6 +117,9 @@
     strategies.tuples(
         strategies.just("rate-limits"), PACKED_LIMITS, SCALARS
     ).map(list),
+    strategies.tuples(strategies.just("pauses"), PACKED_ENDS, SCALARS).map(
+        list
+    ),
     strategies.tuples(strategies.just("outage")).map(list),
     strategies.tuples(strategies.just("pending")).map(list),
 )
@@ -153,6 +157,12 @@
             )
             limits.on_notice(message)
             limits.tick(common.NOW)
+        elif isinstance(message, peer_messages.PauseNotice):
+            pauses = pause_follower.PauseFollower(
+                fleet_state.Clock(), fleet.registry
+            )
+            pauses.on_notice(message)
+            pauses.make_notices()
         elif isinstance(
             message, peer_messages.CrashNotice | peer_messages.HeldRequests
         ):
--- a/tests/components/gateway/test_peer_messages.py
+++ b/tests/components/gateway/test_peer_messages.py
@@ -67,6 +67,10 @@
             peer_messages.StateRequest(common.make_member("d")),
             peer_messages.StatePending(),
             peer_messages.OutageNotice(),
+            peer_messages.PauseNotice(
+                (peer_messages.StatedPause(models.ServerStart("a", 7), 2.5),),
+                for_relay=True,
+            ),
             peer_messages.RateLimitNotice(
                 (
                     peer_messages.StatedLimit("a", 1, 0.4, 0.25, True),
--- a/tests/platform/test_pause.py
+++ b/tests/platform/test_pause.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+from collections import abc
+import pathlib
 import re
+import subprocess
 import time
 
 import pytest
 
 from tests.platform import common
+from tests.platform import joining_stage
 from tests.platform import standin
 
 # Requests that may reach a server in a pause from half a second on.
@@ -96,3 +100,55 @@
         paused.mode, other.mode = "good", "shed"
         time.sleep(1.1)
         assert standin.parse_status(send(stage, 2)) == 200
+
+
+class TestFleet:
+    """Three daemons that know one another."""
+
+    @pytest.fixture
+    def fleet(
+        self, tmp_path: pathlib.Path
+    ) -> abc.Iterator[joining_stage.JoiningStage]:
+        """Start a store, two backend servers and a seed daemon."""
+        fleet = joining_stage.JoiningStage(tmp_path, "i-a", "i-b")
+        try:
+            yield fleet
+        finally:
+            fleet.close()
+
+    def test_one_daemon_is_turned_away_and_none_after_it(
+        self, fleet: joining_stage.JoiningStage
+    ) -> None:
+        """Guard against an extra call by each daemon for the same pause."""
+        seed = fleet.start_on(joining_stage.SEED_HOST)
+        addresses = [self.read_address(seed)]
+        joining_stage.wait_for_record(seed, change="backend-listed")
+        others = [fleet.start_on(host) for host in joining_stage.HOSTS[1:]]
+        addresses += [self.read_address(daemon) for daemon in others]
+        joining_stage.wait_for_record(seed, about="members", count=3)
+        for daemon in others:
+            joining_stage.wait_for_records(
+                daemon,
+                {"change": "backend-listed", "server": "i-a"},
+                {"about": "members", "count": 3},
+            )
+        paused, other = fleet.servers
+        paused.mode, paused.pause = "shed", str(PAUSE_S)
+        other.load = "3,0,6,100"
+        statuses = []
+        for number in range(60):
+            with common.connect(addresses[number % 3]) as sock:
+                sock.sendall(
+                    common.encode_request("/order/1", f"r-{number}", "POST")
+                )
+                received = common.read_response(sock)
+            statuses.append(standin.parse_status(received))
+            time.sleep(0.02)
+        assert set(statuses) == {200}
+        assert len(paused.arrivals) == 1
+        assert not paused.executions
+
+    def read_address(self, daemon: subprocess.Popen[bytes]) -> str:
+        """Return the address at which a daemon accepts callers."""
+        start = joining_stage.wait_for_record(daemon, about="start")
+        return str(start["listen"])
