Let servers of the soak leave in answers alone and ask for pauses

Cause: the soak played neither, so that its disruptions were never combined with them.

Change: both at random, with a check for each rule of the users; a restart, freeze or cut excuses as they say.

Each check fails on a planted record (TestChecks).

--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -229,6 +229,17 @@
     fields: dict[str, str] = attrs.field(factory=dict)
 
 
+@attrs.frozen
+class Arrival:
+    """A request that reached a server, in monotonic time."""
+
+    request_id: str
+    server_id: str
+    at: float
+    # Until when the server asked for a pause as it turned the request away.
+    paused_until: float | None = None
+
+
 class BackendServer(Server):
     """A backend server whose ``mode`` selects a fault."""
 
@@ -250,8 +261,10 @@
         self.leaves = False
         # Pause in seconds that refusals in the mode "shed" ask for, if any.
         self.pause = ""
-        # Monotonic times of all requests but health checks.
-        self.arrivals: list[float] = []
+        # Until when it turns all requests away, and asks for that pause.
+        self.paused_until = 0.0
+        # All requests but health checks.
+        self.received: list[Arrival] = []
         # Returns the bytes sent in place of a response in the modes "altered,
         # close" and "altered, reset".
         self.alter_response: abc.Callable[[bytes], bytes] = bytes
@@ -259,6 +272,11 @@
         # Connection on which each request was refused.
         self._refused_on: dict[str, asyncio.StreamWriter] = {}
 
+    @property
+    def arrivals(self) -> list[float]:
+        """Return the monotonic times of all requests but health checks."""
+        return [arrival.at for arrival in self.received]
+
     @property
     def executed_ids(self) -> list[str]:
         """Return the IDs of the requests that ran on this server."""
@@ -311,7 +329,20 @@
         if request.fields.get("x-target-instance") != self.server_id:
             writer.write(encode_response(421, X_Request_Id=request_id))
             return True
-        self.arrivals.append(time.monotonic())
+        now = time.monotonic()
+        if now < self.paused_until:
+            self.received.append(
+                Arrival(request_id, self.server_id, now, self.paused_until)
+            )
+            fields = {
+                "X_Request_Id": request_id,
+                "X_Not_Executed": "1",
+                "Retry_After": f"{self.paused_until - now:.3f}",
+                **leaving,
+            }
+            writer.write(encode_response(503, **fields))
+            return True
+        self.received.append(Arrival(request_id, self.server_id, now))
         if self.mode == "shed":
             fields = {
                 "X_Request_Id": request_id,
--- a/tests/soak/injectors.py
+++ b/tests/soak/injectors.py
@@ -28,6 +28,8 @@
 # for which they do.
 RATE_LIMITS = (0.2, 4.0)
 RATE_LIMIT_DURATION_S = (2.0, 10.0)
+# Range of the pauses in seconds that servers ask for.
+PAUSES_S = (0.8, 5.0)
 BLOCKED_DIRECTIONS = (
     frozenset({proxy_module.UPSTREAM}),
     frozenset({proxy_module.DOWNSTREAM}),
@@ -84,6 +86,8 @@
             self._drain_server,
             self._slow_server,
             self._limit_server,
+            self._pause_server,
+            self._let_server_leave,
             self._reassign_address,
         )
 
@@ -136,6 +140,24 @@
 
         self._schedule(duration_s, end)
 
+    def _pause_server(self) -> None:
+        """Let a random server turn requests away and ask for a pause."""
+        server = self._rng.choice(self._environment.stage.servers)
+        duration_s = self._rng.uniform(*PAUSES_S)
+        server.paused_until = time.monotonic() + duration_s
+
+    def _let_server_leave(self) -> None:
+        """Let a server say in answers that it leaves; the first one stays.
+
+        The list goes on to name it as ready.
+        """
+        server = self._choose_removable_server()
+        if server is None:
+            return
+        leaves_at = self._environment.records.leaves_at
+        leaves_at.setdefault(server.server_id, time.monotonic())
+        server.leaves = True
+
     def _fail_store(self) -> None:
         """Make the store refuse every call for a while."""
         store = self._environment.stage.store
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -25,6 +25,11 @@
 MAX_LIMIT_RATIO = 1.5
 MAX_LIMIT_EXTRA = 5
 LIMIT_TOLD_AFTER_S = 0.5
+# Time in seconds after a server turned a request away from which its pause
+# counts, and the requests that it may get until the end: BUDGET of the users'
+# rules.
+PAUSE_GRACE_S = 0.5
+MAX_IN_PAUSE = 2
 # Statuses which promise that the request did not run and never will.
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
 # Share of the requests after all faults that must be served: at least the
@@ -43,6 +48,7 @@
     ) -> None:
         """Initialize the checker with the records and servers of a run."""
         self._records = records
+        self._servers = servers
         self._executions: dict[str, list[standin.Execution]] = {}
         for server in servers:
             for execution in server.executions:
@@ -61,9 +67,90 @@
             broken.extend(self._check_request(request))
         for limit in self._records.stated_limits:
             broken.extend(self._check_rate_limit(limit))
+        for server_id, leaves_at in self._records.leaves_at.items():
+            broken.extend(self._check_leaving(server_id, leaves_at))
+        broken.extend(self._check_pauses())
         broken.extend(self._check_recovery())
         return broken
 
+    def _check_leaving(
+        self, server_id: str, leaves_at: float
+    ) -> abc.Iterator[str]:
+        """Check that who passed on that a server leaves stops using it."""
+        runs = [
+            (request, execution)
+            for request in self._records.requests
+            for execution in self._executions.get(request.request_id, ())
+            if execution.server_id == server_id
+            and execution.started_at >= leaves_at
+        ]
+        told = [
+            (request.daemon, request.ended_at)
+            for request, execution in runs
+            if request.status == 200
+            and request.body.startswith(f"{server_id} ".encode())
+        ]
+        for request, execution in runs:
+            for daemon, told_at in told:
+                if (
+                    daemon == request.daemon
+                    and request.sent_at > told_at + DRAIN_TIMEOUT_S
+                    and self._records.is_same_process(
+                        daemon, told_at, execution.started_at
+                    )
+                ):
+                    late_s = request.sent_at - told_at
+                    yield (
+                        f"{request.request_id} by {daemon} at {server_id},"
+                        f" {late_s:.1f} s after an answer that it leaves"
+                    )
+                    break
+
+    def _check_pauses(self) -> abc.Iterator[str]:
+        """Check that daemons keep the pauses that servers asked them for."""
+        daemons = {
+            request.request_id: request.daemon
+            for request in self._records.requests
+        }
+        by_pair: dict[tuple[str, str], list[standin.Arrival]] = {}
+        for server in self._servers:
+            for arrival in server.received:
+                daemon = daemons.get(arrival.request_id, "")
+                pair = (daemon, arrival.server_id)
+                by_pair.setdefault(pair, []).append(arrival)
+        for (daemon, server_id), arrivals in by_pair.items():
+            for asked in arrivals:
+                if asked.paused_until is None:
+                    continue
+                count = sum(
+                    asked.at + PAUSE_GRACE_S < arrival.at < asked.paused_until
+                    and self._is_bound_by_pause(
+                        daemon, server_id, asked.at, arrival.at
+                    )
+                    for arrival in arrivals
+                )
+                if count > MAX_IN_PAUSE:
+                    yield (
+                        f"{server_id} got {count} requests from {daemon} in"
+                        " its pause"
+                    )
+                    break
+
+    def _is_bound_by_pause(
+        self, daemon: str, server_id: str, asked_at: float, until: float
+    ) -> bool:
+        """Return whether a pause that a server asked for binds a daemon.
+
+        A link that holds requests up delivers several at once.
+        """
+        subjects = (server_id, records_module.MACHINE)
+        return self._records.is_same_process(daemon, asked_at, until) and all(
+            self._records.is_undisturbed(
+                subject, asked_at - CONTACT_TIMEOUT_S, until
+            )
+            for subject in subjects
+        )
+
     def _check_rate_limit(
         self, limit: records_module.StatedLimit
     ) -> abc.Iterator[str]:
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -61,6 +61,8 @@
     disruptions: list[Disruption] = attrs.field(factory=list)
     # When the removal of a server was written to the store.
     removed_at: dict[str, float] = attrs.field(factory=dict)
+    # When a server began to say in its answers that it leaves.
+    leaves_at: dict[str, float] = attrs.field(factory=dict)
     stated_limits: list[StatedLimit] = attrs.field(factory=list)
     # When each daemon's process was replaced in a graceful stop.
     replaced_at: list[tuple[str, float]] = attrs.field(factory=list)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -190,6 +190,45 @@
         self.records.replaced_at.append(("entry-1", 102.0))
         assert self.check() == []
 
+    def add_lookup(self, number: int, started_at: float) -> None:
+        """Record a served lookup that the first server ran."""
+        request = attrs.evolve(
+            self.request,
+            request_id=f"l-{number}",
+            path="/look/1",
+            sent_at=started_at,
+            ended_at=started_at + 0.1,
+        )
+        request.is_idempotent = True
+        request.body = b"i-0 /look/1"
+        self.records.requests.append(request)
+        self.add_execution(0, started_at, f"l-{number}")
+
+    def test_use_of_leaving_server_is_reported(self) -> None:
+        """Report a request long after an answer that its server leaves."""
+        self.records.leaves_at["i-0"] = 100.0
+        self.add_lookup(1, 102.1)
+        assert self.check() == []
+        self.add_lookup(2, 102.3)
+        assert any("that it leaves" in text for text in self.check())
+        self.records.replaced_at.append(("entry-1", 101.0))
+        assert self.check() == []
+
+    def test_use_in_a_pause_is_reported(self) -> None:
+        """Report more requests in a pause than the rule allows."""
+        server = self.servers[0]
+        refused = standin.Arrival("r-1", "i-0", 100.0, 103.0)
+        server.received.append(refused)
+        for number, at in enumerate((100.4, 100.6, 102.9, 103.1)):
+            self.add_lookup(number, at)
+            server.received.append(standin.Arrival(f"l-{number}", "i-0", at))
+        assert self.check() == []
+        self.add_lookup(9, 101.0)
+        server.received.append(standin.Arrival("l-9", "i-0", 101.0))
+        assert any("in its pause" in text for text in self.check())
+        self.add_disruption("i-0")
+        assert self.check() == []
+
     def test_missing_recovery_is_reported(self) -> None:
         """Report that no request was served after all faults ended."""
         self.request.status = 502
