End the close of a listener also where connections can't be kept out

Cause: where the kernel takes no filter, the wait for a quiet 5 ms goes on for as long as callers connect more often. Found on reading the change again; not seen.

Change: without the filter the listener accepts what waits and closes, as before.

--- a/tarragonlift/components/data_path/stream.py
+++ b/tarragonlift/components/data_path/stream.py
@@ -291,21 +291,22 @@
 
         Connections that were established but not yet accepted would be reset,
         so no new one is let in meanwhile. Blocks for ``HANDSHAKE_TIMEOUT_MS``
-        after the last one.
+        after the last one, unless new ones can't be kept out.
         """
         if self._sock.fileno() < 0:
             return
-        self._drop_connection_requests()
+        is_filtered = self._drop_connection_requests()
+        timeout_ms = const.HANDSHAKE_TIMEOUT_MS if is_filtered else 0
         pending = select.poll()
         pending.register(self._sock, select.POLLIN)
-        while pending.poll(const.HANDSHAKE_TIMEOUT_MS):
+        while pending.poll(timeout_ms):
             if not self._accept():
                 break
         self._poller.detach(self._sock.fileno())
         self._sock.close()
 
-    def _drop_connection_requests(self) -> None:
-        """Let the kernel drop requests for connections unanswered.
+    def _drop_connection_requests(self) -> bool:
+        """Let the kernel drop requests for connections; return whether it may.
 
         Their callers repeat them and are refused once the socket is closed.
         """
@@ -318,6 +319,8 @@
             )
         except OSError as error:
             logs.log_error(error, at="closing_listener")
+            return False
+        return True
 
     def _accept(self) -> bool:
         """Accept one connection; return whether there was one."""
