Broadcast notices of crashes, pauses and rate limits by one piece

Cause: three followers each had a copy of sending a notice to the data centre and to relays, of passing one on, and of the sender that drops.

Change: a base class has them; behaviour is unchanged.

--- a/tarragonlift/components/gateway/crash_follower.py
+++ b/tarragonlift/components/gateway/crash_follower.py
@@ -14,6 +14,7 @@
 
 import attrs
 
+from tarragonlift.components.gateway import broadcast
 from tarragonlift.components.gateway import const
 from tarragonlift.components.gateway import peer_messages
 from tarragonlift.components import logs
@@ -22,11 +23,10 @@
 from tarragonlift.core import interfaces
 from tarragonlift.core import models
 
-Send = abc.Callable[[peer_messages.Message], None]
 SendTo = abc.Callable[[models.Address, peer_messages.Message], None]
 
 
-class CrashFollower:
+class CrashFollower(broadcast.Broadcaster):
     """Keeps a daemon's crash tracker in step with those of the others."""
 
     def __init__(
@@ -36,12 +36,11 @@
         members: members_module.Members,
     ) -> None:
         """Initialize the follower; set the senders next."""
+        super().__init__()
         self._loop = loop
         self._tracker = tracker
         self._members = members
         self._compared_at = -math.inf
-        self.send_to_data_centre: Send = _drop
-        self.send_to_relays: Send = _drop
         self.send_to: SendTo = _drop_reply
 
     @property
@@ -62,8 +61,7 @@
 
     def on_notice(self, notice: peer_messages.CrashNotice) -> None:
         """Apply what another daemon knows."""
-        if notice.for_relay:
-            self.send_to_data_centre(attrs.evolve(notice, for_relay=False))
+        self._pass_on(notice)
         now = self._loop.now()
         self._apply(notice.suspects, now)
         for survivor in notice.survivors:
@@ -145,8 +143,7 @@
     ) -> None:
         """Send notices to all other daemons, each a datagram."""
         for notice in make_notices(suspects, survivors, now):
-            self.send_to_data_centre(notice)
-            self.send_to_relays(attrs.evolve(notice, for_relay=True))
+            self._broadcast(notice)
 
 
 def make_notices(
@@ -211,10 +208,6 @@
     )
 
 
-def _drop(message: peer_messages.Message) -> None:
-    """Drop a message; used until a sender is set."""
-
-
 def _drop_reply(
     address: models.Address, message: peer_messages.Message
 ) -> None:
--- a/tarragonlift/components/gateway/pause_follower.py
+++ b/tarragonlift/components/gateway/pause_follower.py
@@ -11,8 +11,7 @@
 from collections import abc
 import math
 
-import attrs
-
+from tarragonlift.components.gateway import broadcast
 from tarragonlift.components.gateway import peer_messages
 from tarragonlift.components import logs
 from tarragonlift.core.fleet import const
@@ -21,22 +20,20 @@
 from tarragonlift.core import interfaces
 
 FleetServer = server_module.FleetServer
-Send = abc.Callable[[peer_messages.Message], None]
 
 
-class PauseFollower:
+class PauseFollower(broadcast.Broadcaster):
     """Announces pauses, few times a second, and applies those of others."""
 
     def __init__(
         self, loop: interfaces.Loop, registry: registry_module.Registry
     ) -> None:
         """Initialize the follower; set the senders next."""
+        super().__init__()
         self._loop = loop
         self._registry = registry
         self._due: set[FleetServer] = set()
         self._announced_at = -math.inf
-        self.send_to_data_centre: Send = _drop
-        self.send_to_relays: Send = _drop
 
     def on_pause(self, server: FleetServer) -> None:
         """Tell of a pause that this daemon was asked for, unless just told."""
@@ -57,13 +54,11 @@
         self._announced_at = now
         due, self._due = self._due, set()
         for notice in _make_notices(due, now):
-            self.send_to_data_centre(notice)
-            self.send_to_relays(attrs.evolve(notice, for_relay=True))
+            self._broadcast(notice)
 
     def on_notice(self, notice: peer_messages.PauseNotice) -> None:
         """Avoid the servers that asked another daemon for a pause."""
-        if notice.for_relay:
-            self.send_to_data_centre(attrs.evolve(notice, for_relay=False))
+        self._pass_on(notice)
         now = self._loop.now()
         for pause in notice.pauses:
             server = self._registry.get(pause.start.server_id)
@@ -95,7 +90,3 @@
         peer_messages.PauseNotice(tuple(pauses[start : start + size]))
         for start in range(0, len(pauses), size)
     ]
-
-
-def _drop(message: peer_messages.Message) -> None:
-    """Drop a message; used until a sender is set."""
--- a/tarragonlift/components/gateway/rate_limit_follower.py
+++ b/tarragonlift/components/gateway/rate_limit_follower.py
@@ -12,8 +12,7 @@
 from collections import abc
 import math
 
-import attrs
-
+from tarragonlift.components.gateway import broadcast
 from tarragonlift.components.gateway import peer_messages
 from tarragonlift.components import logs
 from tarragonlift.core.fleet import const
@@ -23,16 +22,16 @@
 from tarragonlift.core import interfaces
 
 FleetServer = server_module.FleetServer
-Send = abc.Callable[[peer_messages.Message], None]
 
 
-class RateLimitFollower:
+class RateLimitFollower(broadcast.Broadcaster):
     """Records limits, announces them and checks whether they have ended."""
 
     def __init__(
         self, loop: interfaces.Loop, registry: registry_module.Registry
     ) -> None:
         """Initialize the follower; set the senders and ``check`` next."""
+        super().__init__()
         self._loop = loop
         self._registry = registry
         # Servers with a limit, or whose end is still to be announced.
@@ -41,8 +40,6 @@
         self._due_notices: dict[FleetServer, int] = {}
         self._announced_at: dict[FleetServer, float] = {}
         self._checked_at = -math.inf
-        self.send_to_data_centre: Send = _drop
-        self.send_to_relays: Send = _drop
         # Sends a health check to a server.
         self.check: abc.Callable[[FleetServer], None] = _ignore
 
@@ -76,8 +73,7 @@
 
     def on_notice(self, notice: peer_messages.RateLimitNotice) -> None:
         """Apply what other daemons were told, unless it is known better."""
-        if notice.for_relay:
-            self.send_to_data_centre(attrs.evolve(notice, for_relay=False))
+        self._pass_on(notice)
         now = self._loop.now()
         for stated in notice.limits:
             server = self._registry.get(stated.server_id)
@@ -158,8 +154,7 @@
             if not self._due_notices[server]:
                 del self._due_notices[server]
         for notice in _make_notices(due, now):
-            self.send_to_data_centre(notice)
-            self.send_to_relays(attrs.evolve(notice, for_relay=True))
+            self._broadcast(notice)
 
     def _forget(self, server: FleetServer) -> None:
         """Forget a server without a limit."""
@@ -189,9 +184,5 @@
     ]
 
 
-def _drop(message: peer_messages.Message) -> None:
-    """Drop a message; used until a sender is set."""
-
-
 def _ignore(server: FleetServer) -> None:
     """Ignore the server; used until a check is set."""
--- a/tarragonlift/components/gateway/store_follower.py
+++ b/tarragonlift/components/gateway/store_follower.py
@@ -119,13 +119,10 @@
         self._operator_follower.send_to_relays = send_to_relays
         self._send_to_data_centre = send_to_data_centre
         self._joining.send_to = send_to
-        self.crashes.send_to_data_centre = send_to_data_centre
-        self.crashes.send_to_relays = send_to_relays
         self.crashes.send_to = send_to
-        self.pauses.send_to_data_centre = send_to_data_centre
-        self.pauses.send_to_relays = send_to_relays
-        self.rate_limits.send_to_data_centre = send_to_data_centre
-        self.rate_limits.send_to_relays = send_to_relays
+        for follower in (self.crashes, self.pauses, self.rate_limits):
+            follower.send_to_data_centre = send_to_data_centre
+            follower.send_to_relays = send_to_relays
 
     def start(self, now: float) -> None:
         """Start following the store."""
